--- /dev/null
+++ b/lib/fault/doc.go
@@ -0,0 +1,2 @@
+// Package fault defines the typed errors of the system, each of which names its remedy.
+package fault
--- /dev/null
+++ b/lib/fields/doc.go
@@ -0,0 +1,2 @@
+// Package fields appends and consumes protobuf fields without generated code.
+package fields
--- /dev/null
+++ b/lib/header/doc.go
@@ -0,0 +1,2 @@
+// Package header reads the version-independent part of QUIC packet headers.
+package header
--- /dev/null
+++ b/lib/link/doc.go
@@ -0,0 +1,2 @@
+// Package link reads and writes UDP datagrams in batches.
+package link
--- /dev/null
+++ b/lib/link/socket.go
@@ -0,0 +1,140 @@
+package link
+
+import (
+	"net"
+	"net/netip"
+
+	"golang.org/x/net/ipv4"
+
+	"github.com/cyclamendock/cyclamendock/lib/fault"
+)
+
+const (
+	// BatchSize is how many datagrams one system call carries.
+	BatchSize = 64
+	// MaxDatagram is the greatest size in bytes of a datagram that is read whole.
+	MaxDatagram = 2048
+
+	bufferBytes = 4 << 20
+)
+
+// A Socket is a UDP socket for IPv4.
+type Socket struct {
+	address netip.AddrPort
+	batch   *ipv4.PacketConn
+	conn    *net.UDPConn
+}
+
+// Listen opens a socket, or returns an Unavailable fault when the address is taken.
+func Listen(address netip.AddrPort) (*Socket, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "the address "+address.String()+" can't be used", "choose a free address of this host")
+	}
+	_ = conn.SetReadBuffer(bufferBytes)
+	_ = conn.SetWriteBuffer(bufferBytes)
+	actual := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return &Socket{address: actual, batch: ipv4.NewPacketConn(conn), conn: conn}, nil
+}
+
+// Address returns the socket's own address.
+func (s *Socket) Address() netip.AddrPort { return s.address }
+
+// Send writes one datagram and ignores a full or refusing network.
+func (s *Socket) Send(datagram []byte, to netip.AddrPort) {
+	_, _ = s.conn.WriteToUDPAddrPort(datagram, to)
+}
+
+// Receive reads one datagram, or returns the error of a closed socket.
+func (s *Socket) Receive(buffer []byte) (int, netip.AddrPort, error) {
+	n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
+	return n, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), err
+}
+
+// Close closes the socket, which ends its readers.
+func (s *Socket) Close() { _ = s.conn.Close() }
+
+// A Reader reads batches from a socket into its own buffers.
+type Reader struct {
+	messages []ipv4.Message
+	socket   *Socket
+}
+
+// NewReader returns a reader, of which each goroutine needs its own.
+func NewReader(socket *Socket) *Reader {
+	r := &Reader{messages: make([]ipv4.Message, BatchSize), socket: socket}
+	for i := range r.messages {
+		r.messages[i].Buffers = [][]byte{make([]byte, MaxDatagram)}
+	}
+	return r
+}
+
+// Read waits for datagrams and returns how many have come.
+func (r *Reader) Read() (int, error) { return r.socket.batch.ReadBatch(r.messages, 0) }
+
+// Datagram returns the i-th datagram of the last batch, valid until the next Read.
+func (r *Reader) Datagram(i int) []byte { return r.messages[i].Buffers[0][:r.messages[i].N] }
+
+// From returns the sender of the i-th datagram of the last batch.
+func (r *Reader) From(i int) netip.AddrPort {
+	udp, ok := r.messages[i].Addr.(*net.UDPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	ip, ok := netip.AddrFromSlice(udp.IP)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(ip.Unmap(), uint16(udp.Port))
+}
+
+// A Writer collects datagrams and writes them in batches.
+type Writer struct {
+	addresses []net.UDPAddr
+	count     int
+	ips       [][4]byte
+	messages  []ipv4.Message
+	socket    *Socket
+}
+
+// NewWriter returns a writer, of which each goroutine needs its own.
+func NewWriter(socket *Socket) *Writer {
+	w := &Writer{
+		addresses: make([]net.UDPAddr, BatchSize),
+		ips:       make([][4]byte, BatchSize),
+		messages:  make([]ipv4.Message, BatchSize),
+		socket:    socket,
+	}
+	for i := range w.messages {
+		w.addresses[i].IP = w.ips[i][:]
+		w.messages[i].Addr = &w.addresses[i]
+		w.messages[i].Buffers = [][]byte{make([]byte, 0, MaxDatagram)}
+	}
+	return w
+}
+
+// Buffer returns an empty buffer for the next datagram.
+func (w *Writer) Buffer() []byte { return w.messages[w.count].Buffers[0][:0] }
+
+// Add queues a datagram that was built on Buffer, and writes the batch when it is full.
+func (w *Writer) Add(datagram []byte, to netip.AddrPort) {
+	w.messages[w.count].Buffers[0] = datagram
+	w.ips[w.count] = to.Addr().As4()
+	w.addresses[w.count].Port = int(to.Port())
+	w.count++
+	if w.count == len(w.messages) {
+		w.Flush()
+	}
+}
+
+// Flush writes what is queued; datagrams that the network refuses are lost.
+func (w *Writer) Flush() {
+	for sent := 0; sent < w.count; {
+		n, err := w.socket.batch.WriteBatch(w.messages[sent:w.count], 0)
+		if err != nil || n <= 0 {
+			n = 1
+		}
+		sent += n
+	}
+	w.count = 0
+}
--- /dev/null
+++ b/lib/logs/logger.go
@@ -0,0 +1,59 @@
+package logs
+
+import (
+	"io"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/logfmt"
+)
+
+// A Config holds how a program logs.
+type Config struct {
+	Format string // json or logfmt
+	Level  string // debug, info, warn or error
+	Writer io.Writer
+}
+
+// Fields are the structured part of a log line.
+type Fields map[string]any
+
+// A Logger writes lines of one part of a program.
+type Logger struct {
+	entry  log.Interface
+	prefix string
+}
+
+// New returns a logger whose lines start with the name of the program.
+func New(config Config, part string) *Logger {
+	level, err := log.ParseLevel(config.Level)
+	if err != nil {
+		level = log.InfoLevel
+	}
+	var handler log.Handler = logfmt.New(config.Writer)
+	if config.Format == "json" {
+		handler = json.New(config.Writer)
+	}
+	return &Logger{entry: &log.Logger{Handler: handler, Level: level}, prefix: part + ": "}
+}
+
+// Part returns a logger for another part of the same program.
+func (l *Logger) Part(part string) *Logger {
+	return &Logger{entry: l.entry, prefix: part + ": "}
+}
+
+// Debug logs what helps only while looking for a fault.
+func (l *Logger) Debug(text string, fields Fields) { l.with(fields).Debug(l.prefix + text) }
+
+// Info logs what an operator expects to happen.
+func (l *Logger) Info(text string, fields Fields) { l.with(fields).Info(l.prefix + text) }
+
+// Warn logs what an operator should look at.
+func (l *Logger) Warn(text string, fields Fields) { l.with(fields).Warn(l.prefix + text) }
+
+// Error logs what an operator must look at.
+func (l *Logger) Error(text string, err error, fields Fields) {
+	l.with(fields).WithError(err).Error(l.prefix + text)
+}
+
+func (l *Logger) with(fields Fields) *log.Entry { return l.entry.WithFields(log.Fields(fields)) }
--- /dev/null
+++ b/lib/peer/server.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+
+	"github.com/cyclamendock/cyclamendock/lib/fault"
+	"github.com/cyclamendock/cyclamendock/lib/trust"
+)
+
+// A ServerConfig holds what a Server needs.
+type ServerConfig struct {
+	Address  netip.AddrPort
+	Services map[string]any // receivers of net/rpc by name
+	Trust    *trust.List
+}
+
+// A Server answers calls from trusted addresses.
+type Server struct {
+	config      ServerConfig
+	connections map[net.Conn]bool
+	listener    net.Listener
+	mu          sync.Mutex
+	rpc         *rpc.Server
+}
+
+// NewServer listens, or returns an Unavailable fault when the address is taken.
+func NewServer(config ServerConfig) (*Server, error) {
+	s := &Server{config: config, connections: map[net.Conn]bool{}, rpc: rpc.NewServer()}
+	for name, receiver := range config.Services {
+		if err := s.rpc.RegisterName(name, receiver); err != nil {
+			return nil, fault.Wrap(err, fault.Internal, "the call service "+name+" is unusable", "report this")
+		}
+	}
+	listener, err := net.Listen("tcp4", config.Address.String())
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "the address "+config.Address.String()+" can't be used", "choose a free address of this host")
+	}
+	s.listener = listener
+	return s, nil
+}
+
+// Start accepts connections until Close.
+func (s *Server) Start() { go s.run() }
+
+// Close ends the server and its connections.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for connection := range s.connections {
+		_ = connection.Close()
+	}
+}
+
+func (s *Server) run() {
+	for {
+		connection, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		from := connection.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
+		if !s.config.Trust.Allows(from) {
+			_ = connection.Close()
+			continue
+		}
+		go s.runConnection(connection)
+	}
+}
+
+func (s *Server) runConnection(connection net.Conn) {
+	s.mu.Lock()
+	s.connections[connection] = true
+	s.mu.Unlock()
+	s.rpc.ServeConn(connection)
+	s.mu.Lock()
+	delete(s.connections, connection)
+	s.mu.Unlock()
+}
--- /dev/null
+++ b/lib/setup/load.go
@@ -0,0 +1,128 @@
+package setup
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/fault"
+)
+
+// ExitInvalid is the exit code of a program whose settings or arguments are refused.
+const ExitInvalid = 2
+
+var unknownField = regexp.MustCompile(`unknown field "([^"]*)"`)
+
+// Load reads a settings file into target, or returns an Invalid fault that names file, key and remedy.
+func Load(path string, target any) error {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "settings "+path+" can't be read", "give the path of a readable JSON file")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(b))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return describe(path, err)
+	}
+	return nil
+}
+
+func describe(path string, err error) error {
+	if match := unknownField.FindStringSubmatch(err.Error()); match != nil {
+		return Bad(path, match[1], "is unknown", "remove it or correct its spelling")
+	}
+	return fault.Wrap(err, fault.Invalid, "settings "+path+" are not valid JSON", "correct the named place")
+}
+
+// Bad returns an Invalid fault about one key of a settings file.
+func Bad(path, key, what, remedy string) error {
+	return fault.New(fault.Invalid, "settings "+path+": key "+key+" "+what, remedy)
+}
+
+// A Checker parses the values of one settings file and keeps the first fault.
+type Checker struct {
+	err  error
+	path string
+}
+
+// NewChecker returns a checker for the file at path.
+func NewChecker(path string) *Checker { return &Checker{path: path} }
+
+// Err returns the first fault.
+func (c *Checker) Err() error { return c.err }
+
+// Fail records a fault about a key.
+func (c *Checker) Fail(key, what, remedy string) {
+	if c.err == nil {
+		c.err = Bad(c.path, key, what, remedy)
+	}
+}
+
+// Address parses an IPv4 address and port.
+func (c *Checker) Address(key, text string) netip.AddrPort {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || !address.Addr().Is4() {
+		c.Fail(key, "is not an IPv4 address and port", "give one such as 192.0.2.1:7000")
+	}
+	return address
+}
+
+// Addresses parses a list of IPv4 addresses and ports.
+func (c *Checker) Addresses(key string, texts []string) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, text := range texts {
+		addresses = append(addresses, c.Address(key, text))
+	}
+	return addresses
+}
+
+// Networks parses a list of networks.
+func (c *Checker) Networks(key string, texts []string) []netip.Prefix {
+	var prefixes []netip.Prefix
+	for _, text := range texts {
+		prefix, err := netip.ParsePrefix(text)
+		if err != nil {
+			c.Fail(key, "is not a list of networks", "give networks such as 192.0.2.0/24")
+		}
+		prefixes = append(prefixes, prefix)
+	}
+	return prefixes
+}
+
+// Duration parses a duration, which is the fallback when the text is empty.
+func (c *Checker) Duration(key, text string, fallback time.Duration) time.Duration {
+	if text == "" {
+		return fallback
+	}
+	duration, err := time.ParseDuration(text)
+	if err != nil || duration < 0 {
+		c.Fail(key, "is not a duration", "give one such as 500ms or 10s")
+	}
+	return duration
+}
+
+// Required checks that a text is present.
+func (c *Checker) Required(key, text string) string {
+	if strings.TrimSpace(text) == "" {
+		c.Fail(key, "is missing", "add it")
+	}
+	return text
+}
+
+// OneOf checks that a text is one of the choices, of which the first is the default.
+func (c *Checker) OneOf(key, text string, choices ...string) string {
+	if text == "" {
+		return choices[0]
+	}
+	for _, choice := range choices {
+		if text == choice {
+			return text
+		}
+	}
+	c.Fail(key, "has an unknown value", "use one of "+strings.Join(choices, ", "))
+	return text
+}
--- /dev/null
+++ b/lib/stats/doc.go
@@ -0,0 +1,2 @@
+// Package stats serves the metrics and the health of a process over HTTP.
+package stats
--- /dev/null
+++ b/lib/store/client.go
@@ -0,0 +1,135 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/fault"
+)
+
+const (
+	// MaxValue is the greatest size of a value in bytes.
+	MaxValue = 1 << 20
+	// VersionHeader carries an object's version in answers of the platform.
+	VersionHeader = "Object-Version"
+
+	callTimeout  = 3 * time.Second
+	watchTimeout = 30 * time.Second
+)
+
+// A ClientConfig holds what a Client needs.
+type ClientConfig struct {
+	URL string // of the platform, without a path
+}
+
+// A Client is a Store behind the platform's HTTP API.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client that has not connected yet.
+func NewClient(config ClientConfig) *Client {
+	return &Client{base: config.URL, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+}
+
+// Get returns an object, or a Missing or Unavailable fault.
+func (c *Client) Get(ctx context.Context, key string) (Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.object(ctx, http.MethodGet, key, nil, nil)
+}
+
+// Put writes an object whose version is the expected one.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expected uint64) (Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	query := url.Values{"expected": {strconv.FormatUint(expected, 10)}}
+	return c.object(ctx, http.MethodPut, key, query, value)
+}
+
+// Watch waits until the object's version is greater than the given one.
+func (c *Client) Watch(ctx context.Context, key string, after uint64) (Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout+callTimeout)
+	defer cancel()
+	query := url.Values{
+		"after":   {strconv.FormatUint(after, 10)},
+		"timeout": {watchTimeout.String()},
+	}
+	return c.object(ctx, http.MethodGet, key, query, nil)
+}
+
+// List returns the objects whose keys have a prefix.
+func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	query := url.Values{"prefix": {prefix}}
+	response, err := c.send(ctx, http.MethodGet, "/objects", query, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, unavailable(nil)
+	}
+	var objects []Object
+	if err := json.NewDecoder(response.Body).Decode(&objects); err != nil {
+		return nil, unavailable(err)
+	}
+	return objects, nil
+}
+
+func (c *Client) object(ctx context.Context, method, key string, query url.Values, value []byte) (Object, error) {
+	response, err := c.send(ctx, method, "/objects/"+key, query, value)
+	if err != nil {
+		return Object{}, err
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+		return readObject(response, key)
+	case http.StatusNotFound, http.StatusNotModified:
+		return Object{}, missing(key)
+	case http.StatusPreconditionFailed:
+		return Object{}, stale(key)
+	default:
+		return Object{}, unavailable(nil)
+	}
+}
+
+func readObject(response *http.Response, key string) (Object, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxValue))
+	if err != nil {
+		return Object{}, unavailable(err)
+	}
+	version, err := strconv.ParseUint(response.Header.Get(VersionHeader), 10, 64)
+	if err != nil {
+		return Object{}, unavailable(err)
+	}
+	return Object{Key: key, Value: body, Version: version}, nil
+}
+
+func (c *Client) send(ctx context.Context, method, path string, query url.Values, body []byte) (*http.Response, error) {
+	target := c.base + path + "?" + query.Encode()
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "the platform's URL is unusable", "correct platformUrl in the settings")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return response, nil
+}
+
+func unavailable(cause error) error {
+	return fault.Wrap(cause, fault.Unavailable, "the platform does not answer", "try again when it is back")
+}
+
+var _ Store = (*Client)(nil)
--- /dev/null
+++ b/lib/store/doc.go
@@ -0,0 +1,2 @@
+// Package store talks to the platform's object API.
+package store
--- /dev/null
+++ b/lib/ticket/doc.go
@@ -0,0 +1,2 @@
+// Package ticket issues idempotency tickets and remembers what became of each.
+package ticket
--- /dev/null
+++ b/lib/trace/doc.go
@@ -0,0 +1,2 @@
+// Package trace exports a span for each hop of a flow or request.
+package trace
