Prove flows, configuration, membership, tickets, drain and admission

Cause: the promises had no proof.

After a cut healed, both sides kept each other's balancers down for good, since nobody probes one that is down. Now every fifth heartbeat also probes a lost balancer. 2. A cut-off zone called the other zones' members down on its own word. A death now needs votes from keepers of two zones; silent members are suspects, which get new flows last. 3. The deadline now ends with the response's header.

--- a/agent/serve/backend.go
+++ b/agent/serve/backend.go
@@ -69,10 +69,11 @@
 
 // A Call is one request to the backend server.
 type Call struct {
-	Body   []byte
-	Header http.Header
-	Method string
-	Path   string // with its query
+	Body     []byte
+	Deadline time.Time // zero for none
+	Header   http.Header
+	Method   string
+	Path     string // with its query
 }
 
 // Send makes one attempt. It returns a Missing fault when the request was never sent or was shed,
@@ -152,8 +153,8 @@
 		request.Body = http.NoBody
 	}
 	copyHeader(request.Header, call.Header)
-	if deadline, ok := ctx.Deadline(); ok {
-		left := time.Until(deadline).Milliseconds()
+	if !call.Deadline.IsZero() {
+		left := time.Until(call.Deadline).Milliseconds()
 		request.Header.Set(ticket.DeadlineHeader, strconv.FormatInt(max(left, 0), 10))
 	}
 	trace.Inject(ctx, propagation.HeaderCarrier(request.Header))
--- a/agent/serve/handler.go
+++ b/agent/serve/handler.go
@@ -110,16 +110,20 @@
 		refuse(w, http.StatusRequestEntityTooLarge, "bodyTooLarge")
 		return
 	}
-	deadline := deadlineOf(r.Header, kind)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	call := callOf(r, body)
+	call.Deadline = deadlineOf(r.Header, kind)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	id, reason := h.config.Slots.Acquire(ctx, index, deadline)
+	id, reason := h.config.Slots.Acquire(ctx, index, call.Deadline)
 	if reason != "" {
 		h.refuseAdmission(w, kind, reason)
 		return
 	}
 	defer h.config.Slots.Release(id)
-	response, err := h.send(ctx, index, kind, callOf(r, body))
+	// The deadline ends with the response's header, so that it never cuts a body in progress.
+	timeout := time.AfterFunc(time.Until(call.Deadline), cancel)
+	response, err := h.send(ctx, index, kind, call)
+	timeout.Stop()
 	if err != nil {
 		h.fail(w, err)
 		return
@@ -152,13 +156,13 @@
 		return notRun(http.StatusNotFound, "unknownKindOfWork")
 	}
 	kind := service.Kinds[index]
-	deadline := deadlineOf(call.Header, kind)
-	id, reason := h.config.Slots.Acquire(ctx, index, deadline)
+	call.Deadline = deadlineOf(call.Header, kind)
+	id, reason := h.config.Slots.Acquire(ctx, index, call.Deadline)
 	if reason != "" {
 		return notRun(statusOf(reason), string(reason))
 	}
 	defer h.config.Slots.Release(id)
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), call.Deadline)
 	defer cancel()
 	response, err := h.send(ctx, index, kind, call)
 	if err != nil {
@@ -177,7 +181,7 @@
 			h.config.Slots.Sample(index, time.Since(started), false)
 			return response, nil
 		}
-		if !fault.Is(err, fault.Missing) || !h.mayRetry(ctx, kind) {
+		if !fault.Is(err, fault.Missing) || !h.mayRetry(ctx, kind, call.Deadline) {
 			return nil, err
 		}
 		h.config.Slots.Sample(index, 0, true)
@@ -186,9 +190,8 @@
 	}
 }
 
-func (h *Handler) mayRetry(ctx context.Context, kind config.Kind) bool {
-	deadline, ok := ctx.Deadline()
-	if !ok || ctx.Err() != nil {
+func (h *Handler) mayRetry(ctx context.Context, kind config.Kind, deadline time.Time) bool {
+	if ctx.Err() != nil {
 		return false
 	}
 	allowed := false
--- a/balancer/node/control.go
+++ b/balancer/node/control.go
@@ -162,6 +162,8 @@
 	var keepers []netip.AddrPort
 	var ballots []fleet.Ballot
 	var down, peers []fleet.Record
+	var lost fleet.Record
+	var reconnect bool
 	var probe fleet.Probe
 	var broken string
 	n.state.locked(func() {
@@ -171,6 +173,8 @@
 		peers = n.state.replica.Peers(1)
 		probe = n.state.probe()
 		broken = n.state.replica.Check()
+		lost, reconnect = n.state.lostPeer()
+		n.state.updateSuspects(now)
 	})
 	if broken != "" {
 		n.stats.Counter("cyclamendock_invariants_broken_total").Inc()
@@ -184,6 +188,9 @@
 		n.logMember(record)
 	}
 	n.sendTo(addressesOf(peers), probe.Append(nil))
+	if reconnect {
+		n.sendTo(addressesOf([]fleet.Record{lost}), probe.Append(nil))
+	}
 	n.probeSeeds(peers, probe)
 }
 
--- a/balancer/node/node.go
+++ b/balancer/node/node.go
@@ -163,7 +163,7 @@
 		return
 	}
 	n.state.changed = false
-	view, err := buildView(now, n.table, n.state.holder.Current(), n.state.replica.Live(fleet.RoleAgent))
+	view, err := buildView(now, n.table, n.state.holder.Current(), n.state.replica.Live(fleet.RoleAgent), n.state.suspects)
 	if err != nil {
 		n.log.Error("The configuration can't be used.", err, nil)
 		return
--- a/balancer/node/state.go
+++ b/balancer/node/state.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 	replica    *fleet.Replica
 	scribe     *fleet.Scribe
 	started    time.Time
+	suspects   map[string]bool // members that are the last choice for new flows
+	ticks      int
 }
 
 // newState returns the state of a balancer that knows only itself.
@@ -88,6 +91,23 @@
 	}
 }
 
+// lostPeer returns a balancer that is down and whose turn it is to be probed.
+func (s *State) lostPeer() (fleet.Record, bool) {
+	s.ticks++
+	if s.ticks%fleet.ReconnectBeats != 0 {
+		return fleet.Record{}, false
+	}
+	return s.replica.Lost()
+}
+
+func (s *State) updateSuspects(now time.Time) {
+	suspects := s.keeper.Suspects(now)
+	if !maps.Equal(suspects, s.suspects) {
+		s.suspects = suspects
+		s.changed = true
+	}
+}
+
 func (s *State) version() uint64 { return s.holder.Current().Version }
 
 func (s *State) rank() int {
--- a/balancer/node/view.go
+++ b/balancer/node/view.go
@@ -15,7 +15,7 @@
 const flowRenewal = 10 * time.Second
 
 // buildView returns what the forwarding goroutines need to know, based on the view before.
-func buildView(now time.Time, before *steer.Table, c config.Config, agents []fleet.Record) (*relay.View, error) {
+func buildView(now time.Time, before *steer.Table, c config.Config, agents []fleet.Record, suspects map[string]bool) (*relay.View, error) {
 	view := &relay.View{
 		Addresses: map[netip.AddrPort]uint16{},
 		Rates:     map[uint16]float64{},
@@ -30,7 +30,7 @@
 	}
 	view.Keyring = keyring
 	for _, service := range c.Services {
-		backends := serviceBackends(c, service, agents)
+		backends := serviceBackends(c, service, agents, suspects)
 		view.Addresses[service.Address] = service.ID
 		view.Rates[service.ID] = float64(service.Connections*len(backends)) / flowRenewal.Seconds()
 		view.Table.Set(now, service.ID, backends)
@@ -38,7 +38,7 @@
 	return view, nil
 }
 
-func serviceBackends(c config.Config, service config.Service, agents []fleet.Record) []steer.Backend {
+func serviceBackends(c config.Config, service config.Service, agents []fleet.Record, suspects map[string]bool) []steer.Backend {
 	var backends []steer.Backend
 	for _, agent := range agents {
 		if agent.Service != service.Name {
@@ -47,6 +47,7 @@
 		backends = append(backends, steer.Backend{
 			Address:  agent.Address,
 			Draining: agent.State == fleet.StateDraining || c.Drained(agent.Name),
+			Suspect:  suspects[agent.Name],
 			Weight:   agent.Weight,
 		})
 	}
--- /dev/null
+++ b/lib/admit/speed_test.go
@@ -0,0 +1,77 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+func sampleFor(s *Speed, now time.Time, span, took time.Duration) time.Time {
+	end := now.Add(span)
+	for now.Before(end) {
+		now = now.Add(200 * time.Millisecond)
+		s.Sample(now, took, 100*time.Millisecond)
+		s.Tick(now)
+	}
+	return now
+}
+
+func TestSlowedBackendLosesSpeedWithinTenSecondsAndRecovers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	s := NewSpeed(now)
+	now = sampleFor(s, now, 30*time.Second, 100*time.Millisecond)
+	g.Expect(s.Value()).To(gomega.Equal(fullSpeed))
+	now = sampleFor(s, now, 10*time.Second, 500*time.Millisecond)
+	g.Expect(s.Value()).To(gomega.BeNumerically("~", 200, 30))
+	sampleFor(s, now, 60*time.Second, 100*time.Millisecond)
+	g.Expect(s.Value()).To(gomega.Equal(fullSpeed))
+}
+
+func TestColdBackendRampsUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	s := NewSpeed(now)
+	g.Expect(s.Limit(8)).To(gomega.Equal(3))
+	sampleFor(s, now, 20*time.Second, 100*time.Millisecond)
+	g.Expect(s.Limit(8)).To(gomega.Equal(8))
+}
+
+func TestSheddingSlowsDown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	s := NewSpeed(now)
+	now = sampleFor(s, now, 20*time.Second, 100*time.Millisecond)
+	for range 20 {
+		s.Shed(now, 100*time.Millisecond)
+	}
+	g.Expect(s.Value()).To(gomega.BeNumerically("<", 350))
+	g.Expect(s.Limit(7)).To(gomega.BeNumerically(">=", 1))
+}
+
+func TestIdleBackendRecovers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	s := NewSpeed(now)
+	for range 60 {
+		now = now.Add(time.Second)
+		s.Tick(now)
+	}
+	g.Expect(s.Value()).To(gomega.Equal(fullSpeed))
+}
+
+func TestLoadCountsHeatAndQueue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	cool := Usage{Connections: 2000, Flows: 200, Slots: 7, Speed: 1000}
+	hot := cool
+	hot.Speed = 200
+	busy := cool
+	busy.Waiting = 7
+	g.Expect(Load(cool)).To(gomega.Equal(uint32(100_000)))
+	g.Expect(Load(hot)).To(gomega.Equal(uint32(500_000)))
+	g.Expect(Load(busy)).To(gomega.Equal(uint32(200_000)))
+	full := cool
+	full.Flows = 2000
+	g.Expect(Load(full)).To(gomega.Equal(ClosedLoad))
+}
--- /dev/null
+++ b/lib/drain/machine_test.go
@@ -0,0 +1,94 @@
+package drain
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var allCauses = []Cause{CauseBackend, CauseOperator, CauseSignal}
+
+func TestDrainNeverCutsBeforeItsLimitAndNeverExitsWithFlows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := time.Duration(rapid.IntRange(0, 5).Draw(t, "limit")) * time.Second
+		m := NewMachine(Config{FlowLimit: limit, Linger: time.Second})
+		now := time.Unix(0, 0)
+		var since time.Time
+		signalled, flows := false, 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "passed")) * time.Millisecond)
+			var actions []Action
+			before := m.Draining()
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				cause := rapid.SampledFrom(allCauses).Draw(t, "begin")
+				signalled = signalled || cause == CauseSignal
+				actions = m.Begin(now, cause)
+			case 1:
+				actions = m.End(rapid.SampledFrom(allCauses).Draw(t, "end"))
+			case 2:
+				flows = rapid.IntRange(0, 3).Draw(t, "flows")
+				m.SetFlows(now, flows)
+			case 3:
+				actions = m.Tick(now)
+			}
+			if !before && m.Draining() {
+				since = now
+			}
+			if signalled && !m.Draining() {
+				t.Fatal("a signalled drain was taken back")
+			}
+			checkActions(t, actions, now, since, limit, flows, signalled)
+		}
+	})
+}
+
+func checkActions(t *rapid.T, actions []Action, now, since time.Time, limit time.Duration, flows int, signalled bool) {
+	for _, action := range actions {
+		switch action {
+		case Cut:
+			if limit == 0 || now.Sub(since) < limit {
+				t.Fatalf("flows were cut after %v of %v", now.Sub(since), limit)
+			}
+		case Exit:
+			if flows > 0 || !signalled {
+				t.Fatalf("exit with %d flows, signalled %v", flows, signalled)
+			}
+		}
+	}
+}
+
+func TestSecondDrainChangesNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := NewMachine(Config{})
+	now := time.Unix(0, 0)
+	g.Expect(m.Begin(now, CauseOperator)).To(gomega.Equal([]Action{Announce}))
+	g.Expect(m.Begin(now, CauseOperator)).To(gomega.BeEmpty())
+	g.Expect(m.Begin(now, CauseBackend)).To(gomega.BeEmpty())
+	g.Expect(m.End(CauseOperator)).To(gomega.BeEmpty())
+	g.Expect(m.Draining()).To(gomega.BeTrue())
+	g.Expect(m.End(CauseBackend)).To(gomega.Equal([]Action{Resume}))
+}
+
+func TestUndrainDoesNotTakeBackASignal(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := NewMachine(Config{})
+	m.Begin(time.Unix(0, 0), CauseSignal)
+	g.Expect(m.End(CauseSignal)).To(gomega.BeEmpty())
+	g.Expect(m.End(CauseOperator)).To(gomega.BeEmpty())
+	g.Expect(m.Causes().String()).To(gomega.Equal("signal"))
+}
+
+func TestSignalledProcessExitsAfterItsLastFlow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := NewMachine(Config{Linger: time.Second})
+	now := time.Unix(0, 0)
+	m.SetFlows(now, 1)
+	m.Begin(now, CauseSignal)
+	g.Expect(m.Tick(now.Add(time.Hour))).To(gomega.BeEmpty())
+	m.SetFlows(now.Add(time.Hour), 0)
+	g.Expect(m.Tick(now.Add(time.Hour))).To(gomega.BeEmpty())
+	g.Expect(m.Tick(now.Add(time.Hour + time.Second))).To(gomega.Equal([]Action{Exit}))
+}
--- a/lib/fleet/keeper.go
+++ b/lib/fleet/keeper.go
@@ -10,6 +10,8 @@
 	missLimit = 3 * HeartbeatInterval
 	// newKeeperGrace is how long a keeper waits for a member that has not yet reached it.
 	newKeeperGrace = 10 * time.Second
+	// suspectLimit is how long a member may be silent before it is the last choice for new flows.
+	suspectLimit = 2 * HeartbeatInterval
 	// voteMemory is how long a vote counts.
 	voteMemory = 3 * time.Second
 	// zoneDoubt is how much longer a keeper waits when a whole zone is silent.
@@ -117,7 +119,7 @@
 		}
 		k.watches[name].votes[k.self.Name] = now
 		ballots = append(ballots, k.ballot(record))
-		if k.decided(now, record, silent[record.Zone]) {
+		if k.decided(now, record) {
 			record.State = StateDown
 			down = append(down, record)
 		}
@@ -157,6 +159,17 @@
 	return sights
 }
 
+// Suspects returns the names of members that this keeper misses but that are not down.
+func (k *Keeper) Suspects(now time.Time) map[string]bool {
+	suspects := map[string]bool{}
+	for name, w := range k.watches {
+		if w.heard && now.Sub(w.lastSeen) >= suspectLimit {
+			suspects[name] = true
+		}
+	}
+	return suspects
+}
+
 func (k *Keeper) see(now time.Time, name string, beat Heartbeat) {
 	w := k.watches[name]
 	if w == nil {
@@ -214,8 +227,9 @@
 	return zones
 }
 
-// decided reports whether enough keepers have voted, from two zones when the member's whole zone is silent.
-func (k *Keeper) decided(now time.Time, record Record, zoneSilent bool) bool {
+// decided reports whether enough keepers have voted, from two zones unless all keepers are in one,
+// so that a zone that is cut off calls nobody down.
+func (k *Keeper) decided(now time.Time, record Record) bool {
 	keepers := k.keepers[record.Name]
 	zones := map[string]bool{}
 	votes := 0
@@ -229,7 +243,7 @@
 	if votes < min(2, len(keepers)) {
 		return false
 	}
-	return !zoneSilent || len(zones) > 1 || !severalZones(keepers)
+	return len(zones) > 1 || !severalZones(keepers)
 }
 
 func severalZones(records []Record) bool {
--- a/lib/fleet/lease.go
+++ b/lib/fleet/lease.go
@@ -8,6 +8,8 @@
 const (
 	// HeartbeatInterval is the time between two heartbeats of a member.
 	HeartbeatInterval = time.Second
+	// ReconnectBeats is how many heartbeats pass between two probes of balancers that are down.
+	ReconnectBeats = 5
 	// LeaseDuration is how long a member takes new work after a keeper's last good reply.
 	LeaseDuration = 5 * time.Second
 )
--- a/lib/fleet/replica.go
+++ b/lib/fleet/replica.go
@@ -158,6 +158,21 @@
 	return others[:min(count, len(others))]
 }
 
+// Lost returns one balancer that is down, drawn at random, so that both sides of a healed cut find each other.
+func (r *Replica) Lost() (Record, bool) {
+	var lost []Record
+	for _, m := range r.members {
+		if m.record.Role == RoleBalancer && m.record.State == StateDown {
+			lost = append(lost, m.record)
+		}
+	}
+	if len(lost) == 0 {
+		return Record{}, false
+	}
+	sortRecords(lost)
+	return lost[r.random.IntN(len(lost))], true
+}
+
 // Expire forgets members that have been down for the whole retention.
 func (r *Replica) Expire(now time.Time) {
 	for name, m := range r.members {
--- /dev/null
+++ b/lib/ticket/book_test.go
@@ -0,0 +1,138 @@
+package ticket
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamendock/cyclamendock/lib/fault"
+)
+
+func TestEachTicketRunsAtMostOnceInBoundedMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const capacity = 8
+		now := time.Unix(0, 0)
+		book := NewBook(BookConfig{Capacity: capacity, Lifetime: 10 * time.Second})
+		runs := map[uint64]int{}
+		running := map[uint64]bool{}
+		answers := map[uint64]Answer{}
+		var issued []uint64
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "passed")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				issued = append(issued, book.Issue(now))
+			case 1:
+				if len(issued) > 0 {
+					sequence := rapid.SampledFrom(issued).Draw(t, "use")
+					beginOne(t, book, now, sequence, runs, running, answers)
+				}
+			case 2:
+				finishOne(t, book, running, answers)
+			}
+			if book.Len() > capacity+len(running) {
+				t.Fatalf("%d outcomes are kept", book.Len())
+			}
+		}
+	})
+}
+
+func beginOne(t *rapid.T, book *Book, now time.Time, sequence uint64, runs map[uint64]int, running map[uint64]bool, answers map[uint64]Answer) {
+	verdict, stored := book.Begin(now, sequence, func(a Answer) {
+		if a.Reason != answers[sequence].Reason {
+			t.Fatalf("a waiter of %d got the answer %q", sequence, a.Reason)
+		}
+	})
+	switch verdict {
+	case Run:
+		runs[sequence]++
+		running[sequence] = true
+		if runs[sequence] > 1 {
+			t.Fatalf("ticket %d runs twice", sequence)
+		}
+	case Repeat:
+		if stored.Reason != answers[sequence].Reason {
+			t.Fatalf("ticket %d was answered %q and then %q", sequence, answers[sequence].Reason, stored.Reason)
+		}
+	case Wait:
+		if !running[sequence] {
+			t.Fatalf("ticket %d waits for nothing", sequence)
+		}
+	}
+}
+
+func finishOne(t *rapid.T, book *Book, running map[uint64]bool, answers map[uint64]Answer) {
+	for sequence := range running {
+		answers[sequence] = Answer{Outcome: Ran, Reason: rapid.StringN(1, 4, 4).Draw(t, "answer")}
+		book.Finish(sequence, answers[sequence])
+		delete(running, sequence)
+		return
+	}
+}
+
+func TestNotRunIsFinal(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	book := NewBook(BookConfig{Capacity: 8, Lifetime: time.Minute})
+	sequence := book.Issue(now)
+	verdict, _ := book.Begin(now, sequence, nil)
+	g.Expect(verdict).To(gomega.Equal(Run))
+	book.Finish(sequence, Answer{Outcome: NotRun})
+	verdict, answer := book.Begin(now, sequence, nil)
+	g.Expect(verdict).To(gomega.Equal(Repeat))
+	g.Expect(answer.Outcome).To(gomega.Equal(NotRun))
+}
+
+func TestExpiredTicketIsForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	book := NewBook(BookConfig{Capacity: 8, Lifetime: time.Minute})
+	sequence := book.Issue(now)
+	verdict, _ := book.Begin(now.Add(2*time.Minute), sequence, nil)
+	g.Expect(verdict).To(gomega.Equal(Forgotten))
+}
+
+func TestTicketNeverIssuedIsForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	book := NewBook(BookConfig{Capacity: 8, Lifetime: time.Minute})
+	verdict, _ := book.Begin(time.Unix(0, 0), 5, nil)
+	g.Expect(verdict).To(gomega.Equal(Forgotten))
+}
+
+func testSealer(t *testing.T) *Sealer {
+	sealer, err := NewSealer(make([]byte, SecretLength))
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return sealer
+}
+
+func TestSealedTicketOpens(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sealer := testSealer(t)
+	want := Ticket{Boot: 1, Issuer: netip.MustParseAddrPort("10.0.0.1:7000"), Sequence: 9, Service: 3}
+	text, err := sealer.Seal(want)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	got, err := sealer.Open(text)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(got).To(gomega.Equal(want))
+}
+
+func FuzzOpen(f *testing.F) {
+	sealer, err := NewSealer(make([]byte, SecretLength))
+	if err != nil {
+		f.Fatal(err)
+	}
+	text, err := sealer.Seal(Ticket{Boot: 1, Issuer: netip.MustParseAddrPort("10.0.0.1:7000"), Sequence: 9})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Add("")
+	f.Fuzz(func(t *testing.T, text string) {
+		if _, err := sealer.Open(text); err != nil && !fault.Is(err, fault.Invalid) {
+			t.Fatalf("unexpected fault: %v", err)
+		}
+	})
+}
