Wake the QUIC endpoint's reader when its deadline passes

Cause: the packet connection replaced its deadline channel, so a reader that already waited never saw the deadline and closing the endpoint hung for good; an agent told to stop would not have ended. Found by the new endpoint test, which hung in its clean-up (goroutine dump: Transport.Close waits for the reader).

Ruled out: the refusing endpoint, whose close only showed it first. Before: the test hung until its timeout; after: passes in 1 s under the race detector. Adds tests for outcomes, drops with their reasons, paths and candidate tables.

--- a/agent/flow/conn.go
+++ b/agent/flow/conn.go
@@ -84,9 +84,16 @@
 func (c *packetConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.deadline = make(chan struct{})
-	if !t.IsZero() && !t.After(time.Now()) {
-		close(c.deadline)
+	expired := !t.IsZero() && !t.After(time.Now())
+	select {
+	case <-c.deadline:
+		if !expired {
+			c.deadline = make(chan struct{})
+		}
+	default:
+		if expired {
+			close(c.deadline)
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/agent/flow/endpoint_test.go
@@ -0,0 +1,126 @@
+package flow
+
+import (
+	"crypto/tls"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/cyclamendock/cyclamendock/lib/connid"
+	"github.com/cyclamendock/cyclamendock/lib/link"
+	"github.com/cyclamendock/cyclamendock/lib/ring"
+	"github.com/cyclamendock/cyclamendock/lib/stats"
+	"github.com/cyclamendock/cyclamendock/lib/steer"
+	"github.com/cyclamendock/cyclamendock/lib/trace"
+	"github.com/cyclamendock/cyclamendock/lib/trust"
+	"github.com/cyclamendock/cyclamendock/lib/wire"
+)
+
+var (
+	balancerAddress = netip.MustParseAddrPort("127.0.0.1:6000")
+	callerAddress   = netip.MustParseAddrPort("192.0.2.9:4000")
+	otherAgent      = netip.MustParseAddrPort("127.0.0.1:6001")
+)
+
+func testKeyring(t *testing.T) *connid.Keyring {
+	keyring, err := connid.NewKeyring([]connid.Key{{Number: 1}}, 1)
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return keyring
+}
+
+func newTestEndpoint(t *testing.T, load steer.Load) *Endpoint {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	socket, err := link.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	tracer, err := trace.NewTracer(trace.Config{Output: trace.Off})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	e, err := NewEndpoint(Config{
+		Address: socket.Address(),
+		Control: ring.New[Control](16),
+		Load:    func() steer.Load { return load },
+		Socket:  socket,
+		Stats:   stats.NewServer(stats.Config{}),
+		TLS:     &tls.Config{MinVersion: tls.VersionTLS13},
+		Tracer:  tracer,
+		Trust:   trust.NewList([]netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}),
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	e.Configure(1, testKeyring(t))
+	t.Cleanup(e.Close)
+	return e
+}
+
+func receive(e *Endpoint, f wire.Forward, from netip.AddrPort) Drop {
+	var decoded wire.Forward
+	return e.receive(time.Unix(0, 0), f.Append(nil), from, &decoded, link.NewWriter(e.config.Socket))
+}
+
+func short(id []byte) []byte { return append(append([]byte{0x40}, id...), make([]byte, 30)...) }
+
+func TestAgentDropsWhatIsNotItsOwn(t *testing.T) {
+	e := newTestEndpoint(t, steer.Load{})
+	keyring := testKeyring(t)
+	own := keyring.Seal(nil, connid.ID{Agent: e.config.Address, Service: 1})
+	elsewhere := keyring.Seal(nil, connid.ID{Agent: otherAgent, Service: 1})
+	foreign := keyring.Seal(nil, connid.ID{Agent: e.config.Address, Service: 2})
+	forged := append([]byte(nil), own...)
+	forged[3] ^= 1
+	cases := map[string]struct {
+		from    netip.AddrPort
+		id      []byte
+		service uint16
+		want    Drop
+	}{
+		"another agent's ID":             {balancerAddress, elsewhere, 1, DropOtherAgent},
+		"another service's flow":         {balancerAddress, own, 2, DropWrongService},
+		"another service's ID":           {balancerAddress, foreign, 1, DropWrongService},
+		"another service's ID and flow":  {balancerAddress, foreign, 2, DropWrongService},
+		"forged ID":                      {balancerAddress, forged, 1, DropForgedID},
+		"its own":                        {balancerAddress, own, 1, ""},
+		"sender that is not in any list": {netip.MustParseAddrPort("192.0.2.1:1"), own, 1, DropUntrusted},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := wire.Forward{Balancer: balancerAddress, Caller: callerAddress, Datagram: short(c.id), Service: c.service}
+			gomega.NewWithT(t).Expect(receive(e, f, c.from)).To(gomega.Equal(c.want))
+		})
+	}
+}
+
+func TestMalformedForwardIsDropped(t *testing.T) {
+	e := newTestEndpoint(t, steer.Load{})
+	var decoded wire.Forward
+	b := []byte{byte(wire.KindForward), 0xff, 0xff}
+	drop := e.receive(time.Unix(0, 0), b, balancerAddress, &decoded, link.NewWriter(e.config.Socket))
+	gomega.NewWithT(t).Expect(drop).To(gomega.Equal(DropMalformed))
+}
+
+func TestBusyAgentHandsANewFlowOn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := newTestEndpoint(t, steer.Load{Mean: 1, Self: 2})
+	other, err := link.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(other.Close)
+	datagram := make([]byte, 1200)
+	copy(datagram, []byte{0xc0, 0, 0, 0, 1, 8, 1, 2, 3, 4, 5, 6, 7, 8})
+	f := wire.Forward{
+		Balancer:   balancerAddress,
+		Caller:     callerAddress,
+		Candidates: []netip.AddrPort{e.config.Address, other.Address()},
+		Datagram:   datagram,
+		Service:    1,
+	}
+	var decoded wire.Forward
+	writer := link.NewWriter(e.config.Socket)
+	g.Expect(e.receive(time.Unix(0, 0), f.Append(nil), balancerAddress, &decoded, writer)).To(gomega.BeEmpty())
+	writer.Flush()
+	buffer := make([]byte, link.MaxDatagram)
+	n, from, err := other.Receive(buffer)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(from).To(gomega.Equal(e.config.Address))
+	g.Expect(decoded.Decode(buffer[:n])).To(gomega.BeTrue())
+	g.Expect(decoded.BestLoad).To(gomega.Equal(uint32(2)))
+}
--- /dev/null
+++ b/agent/serve/rig_test.go
@@ -0,0 +1,183 @@
+package serve
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/cyclamendock/cyclamendock/lib/config"
+	"github.com/cyclamendock/cyclamendock/lib/peer"
+	"github.com/cyclamendock/cyclamendock/lib/stats"
+	"github.com/cyclamendock/cyclamendock/lib/ticket"
+	"github.com/cyclamendock/cyclamendock/lib/trace"
+	"github.com/cyclamendock/cyclamendock/lib/trust"
+)
+
+// A fakeBackend counts its runs and answers as the test says.
+type fakeBackend struct {
+	handle http.HandlerFunc
+	mu     sync.Mutex
+	runs   map[string]int
+	seen   int
+	server *httptest.Server
+}
+
+func newFakeBackend(t *testing.T) *fakeBackend {
+	b := &fakeBackend{runs: map[string]int{}}
+	b.handle = b.run
+	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.mu.Lock()
+		b.seen++
+		handle := b.handle
+		b.mu.Unlock()
+		handle(w, r)
+	}))
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+// run records a booking and answers with its name.
+func (b *fakeBackend) run(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	b.mu.Lock()
+	b.runs[string(body)]++
+	b.mu.Unlock()
+	_, _ = io.WriteString(w, "booked "+string(body))
+}
+
+// shed turns a request away in so many words.
+func (b *fakeBackend) shed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(ticket.OutcomeHeader, ticket.NotRun.String())
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (b *fakeBackend) set(handle http.HandlerFunc) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.handle = handle
+}
+
+func (b *fakeBackend) runsOf(booking string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[booking]
+}
+
+func (b *fakeBackend) requests() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seen
+}
+
+func (b *fakeBackend) address() netip.AddrPort {
+	return netip.MustParseAddrPort(strings.TrimPrefix(b.server.URL, "http://"))
+}
+
+// A rig is the serving half of an agent without QUIC.
+type rig struct {
+	backend *fakeBackend
+	handler *Handler
+	runs    *Runs
+	server  *peer.Server
+	slots   *Slots
+}
+
+func testService() config.Service {
+	return config.Service{
+		Connections: 2000,
+		ID:          1,
+		Kinds: []config.Kind{
+			{Class: config.ClassFeed, Method: "GET", Name: "board", PathPrefix: "/feed"},
+			{
+				Class: config.ClassMutating, Method: "POST", Name: "booking", PathPrefix: "/bookings",
+				QueueLimit: 100, Share: 50, Timeout: 3 * time.Second, Typical: 10 * time.Millisecond, Urgency: 2,
+			},
+			{
+				Class: config.ClassRead, Method: "GET", Name: "document", PathPrefix: "/documents",
+				QueueLimit: 100, Share: 50, Timeout: 500 * time.Millisecond, Typical: 10 * time.Millisecond, Urgency: 1,
+			},
+		},
+		Name:  "service",
+		Slots: 4,
+	}
+}
+
+// newRig returns an agent's serving half that answers other agents at the given address.
+func newRig(t *testing.T, backend *fakeBackend, address string, boot uint64) *rig {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	tracer, err := trace.NewTracer(trace.Config{Output: trace.Off})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	calls := peer.NewClient()
+	t.Cleanup(calls.Close)
+	runs := NewRuns(RunsConfig{Address: netip.MustParseAddrPort(address), Boot: boot, Calls: calls})
+	slots := NewSlots(time.Now())
+	handler := NewHandler(HandlerConfig{
+		Backend: NewBackend(BackendConfig{Address: backend.address(), HealthPath: "/health", Tracer: tracer}),
+		Runs:    runs,
+		Slots:   slots,
+		Stats:   stats.NewServer(stats.Config{}),
+		Tracer:  tracer,
+	})
+	sealer, err := ticket.NewSealer(make([]byte, ticket.SecretLength))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	slots.Configure(time.Now(), testService())
+	handler.Configure(testService())
+	runs.Configure(1, sealer)
+	r := &rig{backend: backend, handler: handler, runs: runs, slots: slots}
+	r.listen(t, address)
+	return r
+}
+
+func (r *rig) listen(t *testing.T, address string) {
+	t.Helper()
+	server, err := peer.NewServer(peer.ServerConfig{
+		Address:  netip.MustParseAddrPort(address),
+		Services: map[string]any{"Agent": &Agent{Runs: r.runs}},
+		Trust:    trust.NewList([]netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}),
+	})
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	r.server = server
+	server.Start()
+	t.Cleanup(server.Close)
+}
+
+// do makes one request and returns its answer.
+func (r *rig) do(ctx context.Context, method, path, ticketText, body string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, path, strings.NewReader(body)).WithContext(ctx)
+	if ticketText != "" {
+		request.Header.Set(ticket.TicketHeader, ticketText)
+	}
+	recorder := httptest.NewRecorder()
+	r.handler.ServeHTTP(recorder, request)
+	return recorder
+}
+
+func (r *rig) book(ctx context.Context, ticketText, booking string) *httptest.ResponseRecorder {
+	return r.do(ctx, http.MethodPost, "/bookings", ticketText, booking)
+}
+
+func (r *rig) ticket(t *testing.T) string {
+	t.Helper()
+	answer := r.do(context.Background(), http.MethodGet, ticket.IssuePath, "", "")
+	gomega.NewWithT(t).Expect(answer.Code).To(gomega.Equal(http.StatusOK))
+	return strings.TrimSpace(answer.Body.String())
+}
+
+func outcomeOf(answer *httptest.ResponseRecorder) string {
+	return answer.Header().Get(ticket.OutcomeHeader)
+}
+
+func (s *Slots) gateRunning() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Running()
+}
--- /dev/null
+++ b/balancer/relay/router_test.go
@@ -0,0 +1,197 @@
+package relay
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/pires/go-proxyproto"
+
+	"github.com/cyclamendock/cyclamendock/lib/connid"
+	"github.com/cyclamendock/cyclamendock/lib/header"
+	"github.com/cyclamendock/cyclamendock/lib/link"
+	"github.com/cyclamendock/cyclamendock/lib/ring"
+	"github.com/cyclamendock/cyclamendock/lib/sched"
+	"github.com/cyclamendock/cyclamendock/lib/stats"
+	"github.com/cyclamendock/cyclamendock/lib/steer"
+	"github.com/cyclamendock/cyclamendock/lib/trace"
+	"github.com/cyclamendock/cyclamendock/lib/trust"
+	"github.com/cyclamendock/cyclamendock/lib/wire"
+)
+
+var (
+	agentAddress   = netip.MustParseAddrPort("127.0.0.1:7000")
+	callerAddress  = netip.MustParseAddrPort("192.0.2.9:4000")
+	otherService   = netip.MustParseAddrPort("198.51.100.1:444")
+	testTime       = time.Unix(0, 0)
+	termineService = netip.MustParseAddrPort("198.51.100.1:443")
+)
+
+func testView(t testing.TB) *View {
+	keyring, err := connid.NewKeyring([]connid.Key{{Number: 1}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := steer.NewTable()
+	table.Set(testTime, 1, []steer.Backend{{Address: agentAddress, Weight: 1}})
+	return &View{
+		Addresses: map[netip.AddrPort]uint16{termineService: 1, otherService: 2},
+		Keyring:   keyring,
+		Rates:     map[uint16]float64{1: 5, 2: 5},
+		Table:     table,
+	}
+}
+
+func shortPacket(id []byte) []byte {
+	return append(append([]byte{0x40}, id...), make([]byte, 30)...)
+}
+
+func initialPacket(size int) []byte {
+	packet := make([]byte, size)
+	copy(packet, []byte{0xc0, 0, 0, 0, 1, 8, 1, 2, 3, 4, 5, 6, 7, 8})
+	return packet
+}
+
+func route(t testing.TB, service uint16, datagram []byte) (Route, Drop) {
+	r := Route{Forward: wire.Forward{Caller: callerAddress, Datagram: datagram, Service: service}}
+	drop := NewRouter(agentAddress).Route(testTime, testView(t), &r)
+	return r, drop
+}
+
+func TestEstablishedPacketGoesToTheAgentOfItsID(t *testing.T) {
+	g := gomega.NewWithT(t)
+	id := testView(t).Keyring.Seal(nil, connid.ID{Agent: agentAddress, Service: 1})
+	got, drop := route(t, 1, shortPacket(id))
+	g.Expect(drop).To(gomega.BeEmpty())
+	g.Expect(got.To).To(gomega.Equal(agentAddress))
+	g.Expect(got.Class).To(gomega.Equal(sched.Established))
+}
+
+func TestPacketWithAnIDOfAnotherServiceIsDropped(t *testing.T) {
+	id := testView(t).Keyring.Seal(nil, connid.ID{Agent: agentAddress, Service: 1})
+	_, drop := route(t, 2, shortPacket(id))
+	gomega.NewWithT(t).Expect(drop).To(gomega.Equal(DropWrongService))
+}
+
+func TestBadDatagramsAreDroppedWithTheirReason(t *testing.T) {
+	forged := testView(t).Keyring.Seal(nil, connid.ID{Agent: agentAddress, Service: 1})
+	forged[5] ^= 1
+	foreign := append([]byte{9}, forged[1:]...)
+	early := initialPacket(header.MinInitial)
+	early[0] = 0xd0
+	cases := map[string]struct {
+		datagram []byte
+		service  uint16
+		want     Drop
+	}{
+		"early data":      {early, 1, DropEarlyData},
+		"empty":           {nil, 1, DropMalformed},
+		"forged ID":       {shortPacket(forged), 1, DropForgedID},
+		"no backend":      {initialPacket(header.MinInitial), 2, DropNoBackend},
+		"short initial":   {initialPacket(header.MinInitial - 1), 1, DropMalformed},
+		"truncated":       {[]byte{0xc0, 0, 0}, 1, DropMalformed},
+		"unknown key":     {shortPacket(foreign), 1, DropUnknownKey},
+		"truncated short": {make([]byte, 10), 1, DropMalformed},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, drop := route(t, c.service, c.datagram)
+			gomega.NewWithT(t).Expect(drop).To(gomega.Equal(c.want))
+		})
+	}
+}
+
+func TestNewFlowsBeyondTheRateAreDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	router, view := NewRouter(agentAddress), testView(t)
+	passed := 0
+	for range 100 {
+		r := Route{Forward: wire.Forward{Caller: callerAddress, Datagram: initialPacket(header.MinInitial), Service: 1}}
+		if router.Route(testTime, view, &r) == "" {
+			passed++
+		}
+	}
+	g.Expect(passed).To(gomega.Equal(5))
+}
+
+func proxied(t testing.TB, service netip.AddrPort, payload []byte) []byte {
+	built := proxyproto.HeaderProxyFromAddrs(2, net.UDPAddrFromAddrPort(callerAddress), net.UDPAddrFromAddrPort(service))
+	b, err := built.Format()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return append(b, payload...)
+}
+
+func TestProxyHeaderNamesCallerAndService(t *testing.T) {
+	g := gomega.NewWithT(t)
+	reader := NewProxyReader()
+	for range 2 {
+		origin, payload, ok := reader.Read(proxied(t, termineService, []byte("payload")))
+		g.Expect(ok).To(gomega.BeTrue())
+		g.Expect(origin).To(gomega.Equal(Origin{Caller: callerAddress, Service: termineService}))
+		g.Expect(string(payload)).To(gomega.Equal("payload"))
+	}
+}
+
+func FuzzProxyReader(f *testing.F) {
+	f.Add(proxied(f, termineService, []byte("payload")))
+	f.Add([]byte("PROXY TCP4 1.1.1.1 2.2.2.2 1 2\r\n"))
+	reader := NewProxyReader()
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		_, payload, ok := reader.Read(datagram)
+		if ok && len(payload) > len(datagram) {
+			t.Fatal("the payload is longer than its datagram")
+		}
+	})
+}
+
+// startRelay returns a relay with its sockets on loopback and the drop counter of a reason.
+func startRelay(t testing.TB, trusted string) (*Relay, *link.Socket) {
+	g := gomega.NewWithT(t)
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	back, err := link.Listen(loopback)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	tracer, err := trace.NewTracer(trace.Config{Output: trace.Off})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	networks := []netip.Prefix{netip.MustParsePrefix(trusted)}
+	r, err := New(Config{
+		Back:        back,
+		Control:     ring.New[Control](16),
+		Fabric:      trust.NewList(networks),
+		Front:       loopback,
+		MaxDatagram: 1400,
+		Stats:       stats.NewServer(stats.Config{}),
+		Tracer:      tracer,
+		Trust:       trust.NewList(networks),
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.SetView(testView(t))).To(gomega.Succeed())
+	r.Start()
+	t.Cleanup(func() {
+		r.Close()
+		back.Close()
+	})
+	caller, err := link.Listen(loopback)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(caller.Close)
+	return r, caller
+}
+
+func TestUntrustedSendersAreDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, caller := startRelay(t, "10.0.0.0/8")
+	caller.Send(proxied(t, termineService, initialPacket(1200)), r.shared.socket.Address())
+	returned := wire.Return{Datagram: []byte("x"), Return: callerAddress, Service: 1}
+	caller.Send(returned.Append(nil), r.config.Back.Address())
+	g.Eventually(func() uint64 { return r.drops[DropUntrusted].Load() }, 10*time.Second).Should(gomega.Equal(uint64(2)))
+}
+
+func TestOversizedDatagramsAreDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, caller := startRelay(t, "127.0.0.0/8")
+	caller.Send(proxied(t, termineService, initialPacket(1401)), r.shared.socket.Address())
+	g.Eventually(func() uint64 { return r.drops[DropOversized].Load() }, 10*time.Second).Should(gomega.Equal(uint64(1)))
+}
