--- a/lib/steer/table.go
+++ b/lib/steer/table.go
@@ -13,7 +13,7 @@
 
 const (
 	// candidateCount is the number of agents offered a new flow.
-	candidateCount = 2
+	candidateCount = 3
 	// ownerMemory is how long the previous owner of a new flow is named after a membership change.
 	ownerMemory = 10 * time.Second
 )
--- /dev/null
+++ b/lib/steer/table_test.go
@@ -0,0 +1,92 @@
+package steer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+func backendsOf(count int) []Backend {
+	var backends []Backend
+	for i := range count {
+		backends = append(backends, Backend{Address: agentAddress(i), Weight: 1})
+	}
+	return backends
+}
+
+func TestWeightsDecideTheShares(t *testing.T) {
+	g := gomega.NewWithT(t)
+	backends := backendsOf(4)
+	backends[0].Weight = 3
+	table := NewTable()
+	now := time.Unix(0, 0)
+	table.Set(now, 1, backends)
+	counts := map[string]int{}
+	const flows = 40_000
+	for i := range flows {
+		choice := table.Choose(now, 1, []byte(fmt.Sprint(i)), nil)
+		g.Expect(choice.Candidates).To(gomega.HaveLen(candidateCount))
+		counts[choice.Candidates[0].String()]++
+	}
+	g.Expect(float64(counts[agentAddress(0).String()]) / flows).To(gomega.BeNumerically("~", 0.5, 0.02))
+}
+
+func TestChangeMovesOnlyTheFlowsOfTheNewBackend(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	table := NewTable()
+	table.Set(now, 1, backendsOf(5))
+	now = now.Add(time.Hour)
+	changed := table.Clone()
+	changed.Set(now, 1, backendsOf(6))
+	for i := range 2000 {
+		id := []byte(fmt.Sprint(i))
+		before, after := table.Choose(now, 1, id, nil), changed.Choose(now, 1, id, nil)
+		if before.Candidates[0] == after.Candidates[0] {
+			g.Expect(after.Previous.IsValid()).To(gomega.BeFalse())
+			continue
+		}
+		g.Expect(after.Candidates[0]).To(gomega.Equal(agentAddress(5)))
+		g.Expect(after.Previous).To(gomega.Equal(before.Candidates[0]))
+		later := changed.Choose(now.Add(ownerMemory), 1, id, nil)
+		g.Expect(later.Previous.IsValid()).To(gomega.BeFalse())
+	}
+}
+
+func TestSuspectsComeLast(t *testing.T) {
+	g := gomega.NewWithT(t)
+	backends := backendsOf(6)
+	backends[0].Suspect = true
+	table := NewTable()
+	now := time.Unix(0, 0)
+	table.Set(now, 1, backends)
+	for i := range 200 {
+		choice := table.Choose(now, 1, []byte(fmt.Sprint(i)), nil)
+		g.Expect(choice.Candidates[0]).NotTo(gomega.Equal(agentAddress(0)))
+		if len(choice.Candidates) > candidateCount {
+			g.Expect(choice.Candidates[candidateCount]).To(gomega.Equal(agentAddress(0)))
+		}
+	}
+}
+
+func TestDrainingBackendIsOnlyAPreviousOwner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	table := NewTable()
+	table.Set(now, 1, backendsOf(3))
+	now = now.Add(time.Hour)
+	drained := backendsOf(3)
+	drained[0].Draining = true
+	table.Set(now, 1, drained)
+	previous := 0
+	for i := range 300 {
+		choice := table.Choose(now, 1, []byte(fmt.Sprint(i)), nil)
+		g.Expect(choice.Candidates).NotTo(gomega.ContainElement(agentAddress(0)))
+		if choice.Previous == agentAddress(0) {
+			previous++
+		}
+	}
+	g.Expect(previous).To(gomega.BeNumerically(">", 50))
+}
--- a/lib/wire/forward.go
+++ b/lib/wire/forward.go
@@ -7,7 +7,7 @@
 )
 
 // MaxCandidates is the greatest number of agents that a forward may name.
-const MaxCandidates = 3
+const MaxCandidates = 4
 
 // A Phase tells an agent what is asked of it for a new flow.
 type Phase uint8
--- a/standin/caller/ledger.go
+++ b/standin/caller/ledger.go
@@ -68,3 +68,18 @@
 	var runs []server.Run
 	return runs, json.NewDecoder(response.Body).Decode(&runs)
 }
+
+// CountRuns returns how often a backend server has run a booking, or minus one when it does not answer.
+func CountRuns(address netip.AddrPort, booking string) int {
+	runs, err := readRuns(address)
+	if err != nil {
+		return -1
+	}
+	count := 0
+	for _, run := range runs {
+		if run.Booking == booking {
+			count++
+		}
+	}
+	return count
+}
