Measure slopes and make membership changes cheap

Cause: make slopes showed 155 ms of processor time for one membership change at 3,230 members, growing with the square, since every key ranked and sorted all balancers and each name was hashed anew. During a lost zone that would have been far over 2.3% of a core.

Change: a mixed hash without string building, only the best few of each zone are sorted, and members are assigned at most once per millisecond and member (3.2 s at the target). Ruled out: the digests (64 words) and the heartbeat (3 us).

A watch now belongs to one incarnation.

--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,6 @@
 
 soak:
 	SEED=$(SEED) CHECKS=$(ROUNDS) go test -count=1 -timeout 2h ./lib/...
+
+slopes: build
+	./bin/standin slopes
--- a/lib/fleet/group_proof_test.go
+++ b/lib/fleet/group_proof_test.go
@@ -162,7 +162,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		g := newGroup(rapid.Uint64().Draw(t, "seed"), 4, 5)
 		w := newWatcher(g, t.Fatalf)
-		g.platform = flaky.New(g.platform, func(call string) flaky.Fate {
+		g.platform = flaky.New(g.platform, func(string) flaky.Fate {
 			return flaky.Fate(g.random.IntN(40) % 4)
 		})
 		g.loss = 0.05
--- a/lib/fleet/keeper.go
+++ b/lib/fleet/keeper.go
@@ -6,6 +6,8 @@
 )
 
 const (
+	// assignPause is the least time between two assignments of members to keepers, for each member.
+	assignPause = time.Millisecond
 	// missLimit is how long a member may be silent before its keeper votes it down.
 	missLimit = 3 * HeartbeatInterval
 	// newKeeperGrace is how long a keeper waits for a member that has not yet reached it.
@@ -25,10 +27,15 @@
 }
 
 type watch struct {
-	beat     Heartbeat
-	heard    bool // since this balancer became a keeper of the member
-	lastSeen time.Time
-	votes    map[string]time.Time
+	beat        Heartbeat
+	heard       bool // since this balancer became a keeper of the incarnation
+	incarnation uint64
+	lastSeen    time.Time
+	votes       map[string]time.Time
+}
+
+func newWatch(now time.Time, incarnation uint64) *watch {
+	return &watch{incarnation: incarnation, lastSeen: now, votes: map[string]time.Time{}}
 }
 
 // A Sight is what a keeper last heard from a member.
@@ -42,6 +49,7 @@
 
 // A Keeper watches the leases that fall to one balancer.
 type Keeper struct {
+	assigned time.Time
 	digest   uint64 // of the membership for which the assignment was worked out
 	keepers  map[string][]Record
 	names    map[uint64]string
@@ -114,6 +122,9 @@
 	var down []Record
 	for _, name := range k.watched() {
 		record, ok := k.replica.Find(name)
+		if ok {
+			k.follow(now, record)
+		}
 		if !ok || record.State == StateDown || !k.missed(now, name, silent[record.Zone]) {
 			continue
 		}
@@ -170,11 +181,19 @@
 	return suspects
 }
 
+// follow starts a new watch for a new incarnation, which the silence of the one before says nothing about.
+func (k *Keeper) follow(now time.Time, record Record) {
+	if k.watches[record.Name].incarnation != record.Incarnation {
+		k.watches[record.Name] = newWatch(now, record.Incarnation)
+	}
+}
+
 func (k *Keeper) see(now time.Time, name string, beat Heartbeat) {
 	w := k.watches[name]
 	if w == nil {
 		return
 	}
+	w.incarnation = beat.Incarnation
 	w.beat = beat
 	w.heard = true
 	w.lastSeen = now
@@ -282,6 +301,10 @@
 	if digest == k.digest && len(k.names) > 0 {
 		return
 	}
+	if now.Sub(k.assigned) < time.Duration(len(k.names))*assignPause {
+		return
+	}
+	k.assigned = now
 	k.digest = digest
 	regions := map[string][]Record{}
 	for _, balancer := range k.replica.Live(RoleBalancer) {
@@ -326,7 +349,8 @@
 	}
 	for name := range k.keepers {
 		if k.watches[name] == nil {
-			k.watches[name] = &watch{lastSeen: now, votes: map[string]time.Time{}}
+			record, _ := k.replica.Find(name)
+			k.watches[name] = newWatch(now, record.Incarnation)
 		}
 	}
 }
--- a/lib/fleet/keepers.go
+++ b/lib/fleet/keepers.go
@@ -24,44 +24,79 @@
 	return fmt.Sprintf("%s/%d", member.Service, xxhash.Sum64String(member.Name)%uint64(shards))
 }
 
-type scored struct {
-	record Record
-	score  uint64
-}
-
 // Keepers returns the balancers that keep the lease of a member, spread over as many zones as possible.
 // The balancers must be those of the member's region that are not down.
 func Keepers(key, member string, balancers []Record) []Record {
-	ranked := rankBalancers(key, member, balancers)
+	ranked := rankKeepers(xxhash.Sum64String(key), member, balancers)
 	chosen := make([]Record, 0, KeeperCount)
 	for _, distinct := range []bool{true, false} {
 		for _, candidate := range ranked {
 			if len(chosen) == KeeperCount {
 				return chosen
 			}
-			if holds(chosen, candidate.record.Name) || distinct && holdsZone(chosen, candidate.record.Zone) {
+			if holds(chosen, candidate.Name) || distinct && holdsZone(chosen, candidate.Zone) {
 				continue
 			}
-			chosen = append(chosen, candidate.record)
+			chosen = append(chosen, candidate)
 		}
 	}
 	return chosen
 }
 
-func rankBalancers(key, member string, balancers []Record) []scored {
-	ranked := make([]scored, 0, len(balancers))
-	for _, balancer := range balancers {
-		if balancer.Name == member {
-			continue
+type scored struct {
+	index int
+	score uint64
+}
+
+// rankKeepers returns the best balancers of each zone, the best of all first.
+func rankKeepers(key uint64, member string, balancers []Record) []Record {
+	best := map[string][]scored{}
+	for i := range balancers {
+		if balancers[i].Name != member {
+			zone := balancers[i].Zone
+			best[zone] = keepBest(best[zone], scored{index: i, score: mix(key, balancers[i].NameHash())})
 		}
-		ranked = append(ranked, scored{record: balancer, score: xxhash.Sum64String(key + "\x00" + balancer.Name)})
 	}
-	slices.SortFunc(ranked, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.record.Name, b.record.Name))
+	var all []scored
+	for _, ofZone := range best {
+		all = append(all, ofZone...)
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(balancers[a.index].Name, balancers[b.index].Name))
 	})
+	ranked := make([]Record, 0, len(all))
+	for _, s := range all {
+		ranked = append(ranked, balancers[s.index])
+	}
 	return ranked
 }
 
+// keepBest inserts a score into the few best of a zone, greatest first.
+func keepBest(best []scored, s scored) []scored {
+	at := len(best)
+	for at > 0 && s.score > best[at-1].score {
+		at--
+	}
+	if at == KeeperCount {
+		return best
+	}
+	if len(best) < KeeperCount {
+		best = append(best, scored{})
+	}
+	copy(best[at+1:], best[at:])
+	best[at] = s
+	return best
+}
+
+// mix combines two hashes into one that is spread over all numbers.
+func mix(a, b uint64) uint64 {
+	const first, second = 0xff51afd7ed558ccd, 0xc4ceb9fe1a85ec53
+	x := a ^ b
+	x = (x ^ x>>33) * first
+	x = (x ^ x>>33) * second
+	return x ^ x>>33
+}
+
 func holds(records []Record, name string) bool {
 	return slices.ContainsFunc(records, func(r Record) bool { return r.Name == name })
 }
--- a/lib/fleet/record.go
+++ b/lib/fleet/record.go
@@ -93,3 +93,6 @@
 
 // NameHash identifies a member in heartbeats.
 func NameHash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// NameHash identifies the member in heartbeats and among balancers.
+func (r Record) NameHash() uint64 { return NameHash(r.Name) }
--- a/lib/fleet/scribe.go
+++ b/lib/fleet/scribe.go
@@ -38,15 +38,14 @@
 
 // Rank returns the place of a balancer among those that may write its zone's object.
 func Rank(self Record, balancers []Record) int {
+	key := NameHash("scribe/" + self.Zone)
+	own := mix(key, self.NameHash())
 	rank := 0
-	for _, candidate := range rankBalancers("scribe/"+self.Zone, "", balancers) {
-		if candidate.record.Zone != self.Zone {
-			continue
+	for i := range balancers {
+		other := mix(key, balancers[i].NameHash())
+		if balancers[i].Zone == self.Zone && (other > own || other == own && balancers[i].Name < self.Name) {
+			rank++
 		}
-		if candidate.record.Name == self.Name {
-			return rank
-		}
-		rank++
 	}
 	return rank
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -19,6 +19,7 @@
 	Platform platformCommand  `cmd:"" help:"Serve the platform's object API."`
 	Relay    relayCommand     `cmd:"" help:"Forward datagrams as they are."`
 	Server   serverCommand    `cmd:"" help:"Serve as a backend server."`
+	Slopes   slopesCommand    `cmd:"" help:"Print the tables of docs/CAPACITY.md."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
--- /dev/null
+++ b/standin/slope/config.go
@@ -0,0 +1,133 @@
+package slope
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/config"
+	"github.com/cyclamendock/cyclamendock/lib/steer"
+)
+
+var (
+	backendSizes = []int{2, 8, 32, 128}
+	entrySizes   = []int{16, 32, 64, 128}
+	flowSizes    = []int{2000, 4000, 8000, 16000}
+	serviceSizes = []int{150, 300, 600, targetServices}
+)
+
+func fakeService(i int) config.Service {
+	return config.Service{
+		Address:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 51, byte(i >> 8), byte(i)}), 443),
+		Connections: 2000,
+		ID:          uint16(i + 1),
+		Kinds: []config.Kind{
+			{Class: config.ClassFeed, Method: "GET", Name: "board", PathPrefix: "/feed"},
+			{
+				Class: config.ClassMutating, Method: "POST", Name: "booking", PathPrefix: "/bookings",
+				QueueLimit: 50, Share: 50, Timeout: 5 * time.Second, Typical: 20 * time.Millisecond, Urgency: 3,
+			},
+			{
+				Class: config.ClassRead, Method: "GET", Name: "slots", PathPrefix: "/slots",
+				QueueLimit: 50, Share: 30, Timeout: 3 * time.Second, Typical: 20 * time.Millisecond, Urgency: 2,
+			},
+		},
+		Name:  fmt.Sprintf("service-%04d", i),
+		Slots: 7,
+	}
+}
+
+func fakeConfig(services int) config.Config {
+	c := config.Config{
+		ActiveKey:    1,
+		Keys:         []config.Key{{Number: 1, Secret: make([]byte, 16)}},
+		TicketSecret: make([]byte, 16),
+		Version:      1000,
+	}
+	for i := range services {
+		c.Services = append(c.Services, fakeService(i))
+	}
+	return c
+}
+
+func fakePatch(base uint64) config.Patch {
+	return config.Patch{
+		Author: "operator", Base: base, ID: fmt.Sprintf("cli-%026d", base), Note: "raise the limit of one service",
+		Operations: []config.Operation{config.SetService{Service: fakeService(int(base % targetServices))}},
+	}
+}
+
+// ChangeBytes returns the encoded size of one accepted patch.
+func ChangeBytes() int {
+	return len(config.EncodeEntries([]config.Entry{{Patch: fakePatch(1000), Version: 1001}}))
+}
+
+// Config returns the slopes of configuration.
+func Config() []Slope {
+	return []Slope{
+		measured("configuration: whole, encoded", "service", "bytes", targetServices, serviceSizes, func(size int) float64 {
+			return float64(len(config.EncodeConfig(fakeConfig(size))))
+		}),
+		measured("configuration: heap", "service", "bytes", targetServices, serviceSizes, func(size int) float64 {
+			return heapBytes(func() any {
+				c := fakeConfig(size)
+				return &c
+			})
+		}),
+		measured("configuration: apply one change", "service", "us", targetServices, serviceSizes, func(size int) float64 {
+			c := fakeConfig(size)
+			patch := fakePatch(c.Version)
+			patch.Operations = []config.Operation{config.SetService{Service: fakeService(size / 2)}}
+			return microseconds(50, func() { _, _ = config.Apply(c, patch) })
+		}),
+		measured("platform: configuration head", "entry", "bytes", 128, entrySizes, func(size int) float64 {
+			return float64(len(config.EncodeHead(fakeHead(size))))
+		}),
+		measured("watcher: decode the head", "entry", "us", 128, entrySizes, func(size int) float64 {
+			b := config.EncodeHead(fakeHead(size))
+			return microseconds(20, func() { _, _ = config.DecodeHead(b) })
+		}),
+	}
+}
+
+func fakeHead(entries int) config.Head {
+	head := config.Head{Snapshot: 1000, Version: 1000 + uint64(entries)}
+	for i := range entries {
+		base := 1000 + uint64(i)
+		head.Entries = append(head.Entries, config.Entry{Patch: fakePatch(base), Version: base + 1})
+	}
+	return head
+}
+
+// Flows returns the slopes of flow placement and of what an agent keeps for each flow.
+func Flows() []Slope {
+	now := time.Unix(0, 0)
+	return []Slope{
+		measured("balancer: choose agents for a new flow", "agent of the service", "us", 100, backendSizes, func(size int) float64 {
+			table := steer.NewTable()
+			table.Set(now.Add(-time.Hour), 1, fakeBackends(size))
+			id := []byte("12345678")
+			return microseconds(5000, func() { table.Choose(now, 1, id, nil) })
+		}),
+		measured("agent: heap of return paths", "caller", "bytes", 2000, flowSizes, func(size int) float64 {
+			return heapBytes(func() any {
+				paths := steer.NewPaths(size)
+				for i := range size {
+					paths.Seen(now, fakeBackends(1)[0].Address, steer.Path{})
+					caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 8), byte(i), 1}), 4000)
+					paths.Seen(now, caller, steer.Path{})
+				}
+				return paths
+			})
+		}),
+	}
+}
+
+func fakeBackends(count int) []steer.Backend {
+	var backends []steer.Backend
+	for i := range count {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+		backends = append(backends, steer.Backend{Address: address, Weight: 100})
+	}
+	return backends
+}
