--- /dev/null
+++ b/balancer/node/settings_test.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/cyclamendock/cyclamendock/lib/fault"
+)
+
+const goodSettings = `{
+  "address": "127.0.0.1:7001",
+  "availabilityZone": "weilheim",
+  "frontAddress": "127.0.0.1:7002",
+  "metricsAddress": "127.0.0.1:7003",
+  "name": "balancer-1",
+  "platformUrl": "http://127.0.0.1:7000",
+  "region": "oberbayern"
+}`
+
+func load(t testing.TB, text string) error {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := LoadSettings(path)
+	return err
+}
+
+func TestGoodSettingsAreTaken(t *testing.T) {
+	gomega.NewWithT(t).Expect(load(t, goodSettings)).To(gomega.Succeed())
+}
+
+func TestBadSettingsAreRefusedByFileKeyAndRemedy(t *testing.T) {
+	cases := map[string]struct{ from, to, key string }{
+		"bad address":  {`"127.0.0.1:7001"`, `"localhost"`, "address"},
+		"bad mode":     {`"region"`, `"frontMode": "magic", "region"`, "frontMode"},
+		"bad network":  {`"region"`, `"trustedNetworks": ["x"], "region"`, "trustedNetworks"},
+		"missing zone": {`"weilheim"`, `""`, "availabilityZone"},
+		"unknown key":  {`"region"`, `"regoin": "x", "region"`, "regoin"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			err := load(t, strings.Replace(goodSettings, c.from, c.to, 1))
+			g.Expect(fault.KindOf(err)).To(gomega.Equal(fault.Invalid))
+			for _, part := range []string{"settings.json", "key " + c.key, ";"} {
+				g.Expect(err.Error()).To(gomega.ContainSubstring(part))
+			}
+			g.Expect(err.Error()).NotTo(gomega.ContainSubstring("\n"))
+		})
+	}
+}
+
+func FuzzLoadSettings(f *testing.F) {
+	f.Add(goodSettings)
+	f.Add("{")
+	f.Fuzz(func(t *testing.T, text string) {
+		if err := load(t, text); err != nil && !fault.Is(err, fault.Invalid) {
+			t.Fatalf("unexpected fault: %v", err)
+		}
+	})
+}
--- a/balancer/node/view.go
+++ b/balancer/node/view.go
@@ -29,29 +29,22 @@
 		return nil, err
 	}
 	view.Keyring = keyring
-	for _, service := range c.Services {
-		backends := serviceBackends(c, service, agents, suspects)
-		view.Addresses[service.Address] = service.ID
-		view.Rates[service.ID] = float64(service.Connections*len(backends)) / flowRenewal.Seconds()
-		view.Table.Set(now, service.ID, backends)
-	}
-	return view, nil
-}
-
-func serviceBackends(c config.Config, service config.Service, agents []fleet.Record, suspects map[string]bool) []steer.Backend {
-	var backends []steer.Backend
+	byService := map[string][]steer.Backend{}
 	for _, agent := range agents {
-		if agent.Service != service.Name {
-			continue
-		}
-		backends = append(backends, steer.Backend{
+		byService[agent.Service] = append(byService[agent.Service], steer.Backend{
 			Address:  agent.Address,
 			Draining: agent.State == fleet.StateDraining || c.Drained(agent.Name),
 			Suspect:  suspects[agent.Name],
 			Weight:   agent.Weight,
 		})
 	}
-	return backends
+	for _, service := range c.Services {
+		backends := byService[service.Name]
+		view.Addresses[service.Address] = service.ID
+		view.Rates[service.ID] = float64(service.Connections*len(backends)) / flowRenewal.Seconds()
+		view.Table.Set(now, service.ID, backends)
+	}
+	return view, nil
 }
 
 func buildKeyring(c config.Config) (*connid.Keyring, error) {
--- a/standin/lab/layout.go
+++ b/standin/lab/layout.go
@@ -10,6 +10,7 @@
 
 	"github.com/cyclamendock/cyclamendock/lib/fault"
 	"github.com/cyclamendock/cyclamendock/lib/store"
+	"github.com/cyclamendock/cyclamendock/lib/trace"
 )
 
 // loopback is the only network in which a lab's processes trust each other.
@@ -102,7 +103,7 @@
 	plan := l.plan(b.Service)
 	serverName := "server-" + b.Name
 	if err := l.run(serverName, "standin", "server",
-		"--address", b.Server.String(), "--name", b.Name,
+		"--address", b.Server.String(), "--name", b.Name, "--trace", l.traceOutput(serverName),
 		"--slots", fmt.Sprint(plan.Slots), "--typical", plan.Typical.String()); err != nil {
 		return err
 	}
@@ -137,12 +138,17 @@
 		"seeds":            l.seeds(),
 		"trustedNetworks":  []string{loopback},
 	}
-	if l.config.Trace {
-		settings["trace"] = map[string]any{"output": filepath.Join(l.config.Dir, "trace-"+name+".json"), "ratio": 1}
-	}
+	settings["trace"] = map[string]any{"output": l.traceOutput(name), "ratio": 1}
 	return settings
 }
 
+func (l *Lab) traceOutput(name string) string {
+	if !l.config.Trace {
+		return trace.Off
+	}
+	return filepath.Join(l.config.Dir, "trace-"+name+".json")
+}
+
 func (l *Lab) seeds() []string {
 	var seeds []string
 	for _, balancer := range l.Balancers {
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -12,7 +12,10 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/propagation"
+
 	"github.com/cyclamendock/cyclamendock/lib/ticket"
+	"github.com/cyclamendock/cyclamendock/lib/trace"
 )
 
 const (
@@ -30,6 +33,7 @@
 	ColdFor time.Duration // how long it is slow after its start
 	Name    string
 	Slots   int
+	Tracer  *trace.Tracer
 	Typical time.Duration // of one request while cool
 }
 
@@ -113,7 +117,10 @@
 			s.running--
 			s.mu.Unlock()
 		}()
-		next(w, r)
+		ctx := trace.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, span := s.config.Tracer.Start(ctx, "run request", "path", r.URL.Path)
+		defer span.End()
+		next(w, r.WithContext(ctx))
 	}
 }
 
--- a/standin/slope/fleet.go
+++ b/standin/slope/fleet.go
@@ -81,9 +81,9 @@
 	}
 }
 
-// change replaces one member's record and works out the keepers anew.
+// change replaces one member's record and works out the keepers anew, long after the change before.
 func (b *balancerState) change() {
-	b.now = b.now.Add(time.Second)
+	b.now = b.now.Add(time.Minute)
 	record := b.records[len(b.records)-1].Record
 	b.records[len(b.records)-1].Record.Sequence++
 	record.Sequence = b.records[len(b.records)-1].Record.Sequence
