Ask the previous owner of a flow only once

Change: the first candidate clears the question once answered; an owner that was asked redirects only datagrams straight from a balancer; at the hop limit the agent that has the datagram ends the search instead of dropping it.

Also: status says closed instead of a meaningless load, an idle backend server regains its speed in 15 s, and the demo can wait and stay calm.

--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,4 @@
 
 slopes: build
 	./bin/standin slopes
+	./bin/standin idle
--- a/agent/flow/endpoint.go
+++ b/agent/flow/endpoint.go
@@ -41,8 +41,6 @@
 	DropBusy Drop = "endpointBusy"
 	// DropForgedID is a connection ID that no key here has sealed.
 	DropForgedID Drop = "forgedId"
-	// DropHops is a new flow's datagram that has travelled too long between agents.
-	DropHops Drop = "hops"
 	// DropMalformed is a datagram that can't be read.
 	DropMalformed Drop = "malformed"
 	// DropNoPath is an answer to a caller whose path is not known.
@@ -250,12 +248,10 @@
 		e.traceHandOver(f, firstID, outcome.To)
 		writer.Add(f.Append(writer.Buffer()), outcome.To)
 		return ""
-	case steer.Take:
-		return e.deliver(now, f, e.conn)
 	case steer.Refuse:
 		return e.deliver(now, f, e.refuser.conn)
 	default:
-		return DropHops
+		return e.deliver(now, f, e.conn)
 	}
 }
 
--- a/cyclamendock/cmd/status.go
+++ b/cyclamendock/cmd/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
 	"os/signal"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/cyclamendock/cyclamendock/lib/config"
 	"github.com/cyclamendock/cyclamendock/lib/fault"
 	"github.com/cyclamendock/cyclamendock/lib/peer"
+	"github.com/cyclamendock/cyclamendock/lib/steer"
 	"github.com/cyclamendock/cyclamendock/lib/store"
 )
 
@@ -87,9 +89,9 @@
 	for _, zone := range view.zones() {
 		s.printf("\nZone %s: lowest version in force %s\n", zone.Name, versionText(zone.Lowest))
 		for _, member := range zone.Members {
-			s.printf("  %-20s %-9s %-12s %-9s flows %-6d load %5.1f%%  version %s%s\n",
+			s.printf("  %-20s %-9s %-12s %-9s flows %-6d load %-7s version %s%s\n",
 				member.Name, member.Role, member.Service, member.State, member.Flows,
-				float64(member.Load)/perMillionPart, versionText(member.Config), lagText(view.Newest, member))
+				loadText(member.Load), versionText(member.Config), lagText(view.Newest, member))
 		}
 	}
 	return nil
@@ -102,6 +104,14 @@
 	return "does not answer"
 }
 
+// loadText returns a load as a share of capacity, or that the member takes no new flows.
+func loadText(load uint32) string {
+	if load == steer.Closed {
+		return "closed"
+	}
+	return fmt.Sprintf("%.1f%%", float64(load)/perMillionPart)
+}
+
 func lagText(newest uint64, member peer.MemberStatus) string {
 	if member.State != "down" && member.Config < newest {
 		return "  LAGS"
--- a/cyclamendock/cmd/view.go
+++ b/cyclamendock/cmd/view.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/cyclamendock/cyclamendock/lib/peer"
+	"github.com/cyclamendock/cyclamendock/lib/steer"
 )
 
 // A View is the fleet as all asked balancers together see it.
@@ -83,6 +84,7 @@
 
 type memberJSON struct {
 	Address     string  `json:"address"`
+	Closed      bool    `json:"closed"`
 	Flows       uint32  `json:"flows"`
 	Incarnation uint64  `json:"incarnation"`
 	Lags        bool    `json:"lags"`
@@ -104,12 +106,18 @@
 func viewToJSON(v View) viewJSON {
 	wire := viewJSON{NewestVersion: v.Newest, PlatformAnswer: v.PlatformOK}
 	for _, m := range v.Members {
+		closed := m.Load == steer.Closed
+		load := float64(m.Load) / perMillionPart
+		if closed {
+			load = 0
+		}
 		wire.Members = append(wire.Members, memberJSON{
 			Address:     m.Address,
+			Closed:      closed,
 			Flows:       m.Flows,
 			Incarnation: m.Incarnation,
 			Lags:        lagText(v.Newest, m) != "",
-			LoadPercent: float64(m.Load) / perMillionPart,
+			LoadPercent: load,
 			Name:        m.Name,
 			Role:        m.Role,
 			Service:     m.Service,
--- a/lib/admit/speed.go
+++ b/lib/admit/speed.go
@@ -12,7 +12,7 @@
 	// fastWeight is the weight in per cent of a sample that is faster than the current speed.
 	fastWeight = 10
 	// idleRecovery is how much speed returns per second without samples, in per mille.
-	idleRecovery = 20
+	idleRecovery = 50
 	// shedSlowdown is how many times slower than usual a shed request counts.
 	shedSlowdown = 4
 	// limitHeadroom lets the concurrency limit stay above the speed, in per mille.
--- a/lib/steer/placer.go
+++ b/lib/steer/placer.go
@@ -12,7 +12,7 @@
 const Closed uint32 = math.MaxUint32
 
 const (
-	// maxHops bounds how often one datagram travels between agents.
+	// maxHops is how often one datagram travels between agents before the agent that has it ends the search.
 	maxHops = 8
 	// passLimit is how long a flow that was passed on may stay unanswered before its first agent takes it back.
 	passLimit = 700 * time.Millisecond
@@ -24,10 +24,8 @@
 type Action int
 
 const (
-	// Drop discards the datagram.
-	Drop Action = iota
 	// Pass sends the datagram to another agent.
-	Pass
+	Pass Action = iota + 1
 	// Refuse answers the caller that no agent takes the flow.
 	Refuse
 	// Take gives the datagram to the local QUIC endpoint.
@@ -41,10 +39,8 @@
 		return "pass"
 	case Refuse:
 		return "refuse"
-	case Take:
-		return "take"
 	default:
-		return "drop"
+		return "take"
 	}
 }
 
@@ -136,7 +132,7 @@
 			return Outcome{Action: Pass, To: f.Previous}
 		}
 	}
-	return p.decide(now, key, sender, load, f)
+	return p.decide(now, key, load, f)
 }
 
 // Owned reports whether the agent has taken the flow.
@@ -160,7 +156,7 @@
 		return p.settle(now, key, load)
 	}
 	if f.Hops > maxHops {
-		return Outcome{Action: Drop}
+		return p.settle(now, key, load)
 	}
 	if crossed(known, sender, f) {
 		return p.resolve(now, key, known, load, f)
@@ -187,7 +183,7 @@
 		return p.settle(now, key, load)
 	}
 	f.Phase = wire.PhaseFinal
-	return p.pass(now, key, known.to, known.self, f)
+	return p.pass(now, key, known.to, Load{Mean: load.Mean, Self: known.self}, f)
 }
 
 // answer tells the asking agent that the flow is not here and remembers who asked.
@@ -208,12 +204,13 @@
 }
 
 // decide compares this agent with the best one so far.
-func (p *Placer) decide(now time.Time, key Key, sender netip.AddrPort, load Load, f *wire.Forward) Outcome {
-	if asked := p.records[key]; asked != nil && asked.to != sender {
+func (p *Placer) decide(now time.Time, key Key, load Load, f *wire.Forward) Outcome {
+	if asked := p.records[key]; asked != nil && fromBalancer(f) {
 		f.Phase = wire.PhaseAnswer
 		return Outcome{Action: Pass, To: asked.to}
 	}
 	f.Phase = wire.PhaseOffer
+	f.Previous = netip.AddrPort{} // has been asked, so that no later candidate asks it again
 	if p.takesAtOnce(load) {
 		return p.settle(now, key, load)
 	}
@@ -224,7 +221,7 @@
 	f.Best, f.BestLoad = best, bestLoad
 	f.Visited++
 	if next, ok := p.nextCandidate(f); ok {
-		return p.pass(now, key, next, load.Self, f)
+		return p.pass(now, key, next, load, f)
 	}
 	switch {
 	case !best.IsValid():
@@ -233,7 +230,7 @@
 		return p.settle(now, key, load)
 	}
 	f.Phase = wire.PhaseFinal
-	return p.pass(now, key, best, load.Self, f)
+	return p.pass(now, key, best, load, f)
 }
 
 func (p *Placer) takesAtOnce(load Load) bool {
@@ -260,11 +257,11 @@
 	return netip.AddrPort{}, false
 }
 
-func (p *Placer) pass(now time.Time, key Key, to netip.AddrPort, self uint32, f *wire.Forward) Outcome {
+func (p *Placer) pass(now time.Time, key Key, to netip.AddrPort, load Load, f *wire.Forward) Outcome {
 	if f.Hops > maxHops {
-		return Outcome{Action: Drop}
+		return p.settle(now, key, load)
 	}
-	kept := record{fate: fatePassed, offer: routing(f), self: self, to: to}
+	kept := record{fate: fatePassed, offer: routing(f), self: load.Self, to: to}
 	return p.remember(now, key, kept, Outcome{Action: Pass, To: to})
 }
 
@@ -316,11 +313,13 @@
 	return kept
 }
 
+// fromBalancer reports whether this agent is the first that the datagram has reached.
+func fromBalancer(f *wire.Forward) bool { return f.Hops == 1 }
+
 // unanswered reports whether a caller still opens a flow that was passed on long ago, so that the
 // agent it went to is likely dead.
 func unanswered(now time.Time, known *record, f *wire.Forward) bool {
-	fromBalancer := f.Hops == 1
-	return fromBalancer && now.Sub(known.decided) >= passLimit
+	return fromBalancer(f) && now.Sub(known.decided) >= passLimit
 }
 
 // crossed reports whether an offer comes from the agent to which this one has offered the same flow.
--- a/standin/demo.go
+++ b/standin/demo.go
@@ -18,11 +18,13 @@
 
 type demoCommand struct {
 	Bin        string        `help:"Folder of the programs." default:"bin"`
+	Calm       bool          `help:"Kill and drain nothing."`
 	Deployment string        `help:"Deployment to run: huber or barfani." default:"huber"`
 	Dir        string        `help:"Folder for settings and logs." default:"run/demo"`
 	Duration   time.Duration `help:"How long to make callers." default:"20s"`
 	Feeds      int           `help:"Feeds per deployment's first service." default:"60"`
 	Seed       uint64        `help:"Seed of ports, fabric and callers." default:"1"`
+	Warm       time.Duration `help:"How long to wait before callers come." default:"0s"`
 }
 
 // Run starts the deployment, loads it, kills a balancer, drains a backend server and prints the report.
@@ -43,7 +45,12 @@
 	if err := l.Start(ctx); err != nil {
 		return err
 	}
-	go c.runFailures(ctx, l)
+	if !sleep(ctx, c.Warm) {
+		return nil
+	}
+	if !c.Calm {
+		go c.runFailures(ctx, l)
+	}
 	report := caller.NewLoad(caller.Config{
 		Duration: c.Duration,
 		Plans:    c.plans(l, deployment),
