Bound queues, kept answers and status at the target size

Cause: working out docs/CAPACITY.md showed three costs without a bound that fits: 1,200 flooded services could queue 9.8 GB at a balancer, 32,768 tickets could keep 1 MB answers each, and status asked 430 balancers for 3,230 members each.

Change: all services together queue 16,384 datagrams (32 MB), 16,384 tickets keep 4 KB each (64 MB; a repeat of a larger answer says that it ran), and only the first balancer lists members that it does not keep. Worked out, not measured at that size; the bounds are tested in lib/sched and agent/serve.

--- a/agent/serve/outcome_test.go
+++ b/agent/serve/outcome_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -266,3 +267,15 @@
 	g.Expect(left).To(gomega.Equal("notRun"))
 	g.Expect(r.backend.runsOf("queued")).To(gomega.BeZero())
 }
+
+func TestRepeatOfALargeAnswerSaysThatItRan(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, newFakeBackend(t), firstAddress, 1)
+	text, booking := r.ticket(t), strings.Repeat("x", 2*maxKept)
+	first := r.book(context.Background(), text, booking)
+	g.Expect(first.Body.String()).To(gomega.Equal("booked " + booking))
+	again := r.book(context.Background(), text, booking)
+	g.Expect(outcomeOf(again)).To(gomega.Equal("ran"))
+	g.Expect(again.Header().Get(ticket.ReasonHeader)).To(gomega.Equal("answerNotKept"))
+	g.Expect(r.backend.runsOf(booking)).To(gomega.Equal(1))
+}
--- a/agent/serve/runs.go
+++ b/agent/serve/runs.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	issuerTimeout  = 20 * time.Second
-	ticketCapacity = 1 << 15
+	issuerTimeout = 20 * time.Second
+	// maxKept is the greatest body in bytes that is kept for repeats.
+	maxKept        = 4 << 10
+	ticketCapacity = 1 << 14
 	ticketLifetime = 15 * time.Minute
 )
 
@@ -107,11 +109,20 @@
 	}
 	answer := r.run(ctx, call)
 	r.mu.Lock()
-	r.book.Finish(sequence, answer)
+	r.book.Finish(sequence, kept(answer))
 	r.mu.Unlock()
 	return answer
 }
 
+// kept returns what is remembered of an answer, so that memory stays bounded.
+func kept(answer ticket.Answer) ticket.Answer {
+	if len(answer.Body) > maxKept {
+		answer.Body = nil
+		answer.Reason = "answerNotKept"
+	}
+	return answer
+}
+
 // ask forwards the request to the issuer of its ticket, the only process that may run it.
 func (r *Runs) ask(ctx context.Context, issuer netip.AddrPort, text string, call Call) ticket.Answer {
 	ctx, cancel := context.WithTimeout(ctx, issuerTimeout)
--- a/balancer/node/calls.go
+++ b/balancer/node/calls.go
@@ -65,9 +65,9 @@
 }
 
 // Status returns this balancer's view of the fleet.
-func (f *Fleet) Status(_ peer.Empty, reply *peer.StatusReply) error {
+func (f *Fleet) Status(args peer.StatusArgs, reply *peer.StatusReply) error {
 	now := time.Now()
-	f.node.state.locked(func() { *reply = f.node.state.status(now) })
+	f.node.state.locked(func() { *reply = f.node.state.status(now, args.All) })
 	return nil
 }
 
--- a/balancer/node/state.go
+++ b/balancer/node/state.go
@@ -129,8 +129,8 @@
 	return addresses
 }
 
-// status returns this balancer's view of the fleet.
-func (s *State) status(now time.Time) peer.StatusReply {
+// status returns this balancer's view of the members that it keeps, or of all.
+func (s *State) status(now time.Time, all bool) peer.StatusReply {
 	self := s.lease.Self()
 	reply := peer.StatusReply{Config: s.version(), Name: self.Name, Zone: self.Zone}
 	if !s.platformAt.IsZero() {
@@ -144,7 +144,9 @@
 	sights[self.Name] = fleet.Sight{Config: s.version(), Name: self.Name}
 	for _, aged := range s.replica.All(now) {
 		sight, heard := sights[aged.Record.Name]
-		reply.Members = append(reply.Members, memberStatus(aged.Record, sight, heard))
+		if heard || all {
+			reply.Members = append(reply.Members, memberStatus(aged.Record, sight, heard))
+		}
 	}
 	return reply
 }
--- a/balancer/relay/relay.go
+++ b/balancer/relay/relay.go
@@ -19,6 +19,7 @@
 const (
 	queueDepth   = 2048 // datagrams per service and class
 	queueQuantum = 4 * link.MaxDatagram
+	queueTotal   = 8 * queueDepth // datagrams of all services
 )
 
 // A Control is a datagram between processes that is not a caller's.
@@ -67,7 +68,7 @@
 		config: config,
 		drops:  map[Drop]*atomic.Uint64{},
 		flows:  &atomic.Uint64{},
-		queue:  sched.NewScheduler[*packet](sched.Config{Depth: queueDepth, Quantum: queueQuantum}),
+		queue:  sched.NewScheduler[*packet](sched.Config{Depth: queueDepth, Quantum: queueQuantum, Total: queueTotal}),
 	}
 	r.pool.New = func() any { return &packet{buffer: make([]byte, 0, link.MaxDatagram)} }
 	r.ready = sync.NewCond(&r.mu)
--- a/cyclamendock/cmd/status.go
+++ b/cyclamendock/cmd/status.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// gather asks every balancer of the settings and every other one that those name.
+// gather asks every balancer of the settings, and the first that answers also for members that none keeps.
 func gather(ctx context.Context, settings Settings, platform store.Store) (View, error) {
 	client := peer.NewClient()
 	defer client.Close()
@@ -62,7 +62,8 @@
 	for _, address := range settings.Balancers {
 		callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
 		var reply peer.StatusReply
-		err := client.Call(callCtx, address, peer.MethodStatus, peer.Empty{}, &reply)
+		args := peer.StatusArgs{All: len(replies) == 0}
+		err := client.Call(callCtx, address, peer.MethodStatus, args, &reply)
 		cancel()
 		if err == nil {
 			replies = append(replies, reply)
--- a/lib/peer/messages.go
+++ b/lib/peer/messages.go
@@ -52,6 +52,9 @@
 	Zone        string
 }
 
+// A StatusArgs says whether members that the balancer does not keep are wanted too.
+type StatusArgs struct{ All bool }
+
 // A StatusReply is one balancer's view of the fleet.
 type StatusReply struct {
 	Config      uint64
--- a/lib/sched/scheduler.go
+++ b/lib/sched/scheduler.go
@@ -16,6 +16,7 @@
 type Config struct {
 	Depth   int // items that wait for one service and class
 	Quantum int // bytes that a service may send per turn
+	Total   int // items that wait for all services
 }
 
 type item[T any] struct {
@@ -42,14 +43,14 @@
 	return &Scheduler[T]{config: config, lanes: map[uint16]*lane[T]{}}
 }
 
-// Push adds an item of a size in bytes and reports false when the queue of its service and class is full.
+// Push adds an item of a size in bytes and reports false when its queue, or all queues together, are full.
 func (s *Scheduler[T]) Push(service uint16, class Class, size int, value T) bool {
 	l := s.lanes[service]
 	if l == nil {
 		l = &lane[T]{}
 		s.lanes[service] = l
 	}
-	if len(l.queues[class]) >= s.config.Depth {
+	if s.length >= s.config.Total || len(l.queues[class]) >= s.config.Depth {
 		return false
 	}
 	l.queues[class] = append(l.queues[class], item[T]{size: size, value: value})
--- a/lib/sched/scheduler_test.go
+++ b/lib/sched/scheduler_test.go
@@ -10,7 +10,7 @@
 
 func TestFloodedServiceLeavesOthersTheirTurns(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := NewScheduler[string](Config{Depth: 1000, Quantum: 1500})
+	s := NewScheduler[string](Config{Depth: 1000, Quantum: 1500, Total: 2000})
 	for range 1000 {
 		s.Push(1, Opening, 1200, "flood")
 	}
@@ -29,7 +29,7 @@
 
 func TestEstablishedGoesBeforeOpening(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := NewScheduler[string](Config{Depth: 10, Quantum: 1500})
+	s := NewScheduler[string](Config{Depth: 10, Quantum: 1500, Total: 100})
 	s.Push(1, Opening, 1200, "opening")
 	s.Push(1, Established, 100, "established")
 	value, _ := s.Pop()
@@ -39,7 +39,7 @@
 func TestQueuesAreBoundedAndComplete(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const depth = 8
-		s := NewScheduler[int](Config{Depth: depth, Quantum: 500})
+		s := NewScheduler[int](Config{Depth: depth, Quantum: 500, Total: 3 * depth})
 		pushed, popped := 0, 0
 		for i := range rapid.IntRange(1, 200).Draw(t, "steps") {
 			service := rapid.Uint16Range(1, 4).Draw(t, "service")
@@ -51,7 +51,7 @@
 			} else if _, ok := s.Pop(); ok {
 				popped++
 			}
-			if s.Len() > depth*4*int(classCount) {
+			if s.Len() > 3*depth {
 				t.Fatalf("%d items wait", s.Len())
 			}
 		}
--- a/standin/lab/lab.go
+++ b/standin/lab/lab.go
@@ -178,7 +178,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply peer.StatusReply
-	err := client.Call(ctx, balancer.Address, peer.MethodStatus, peer.Empty{}, &reply)
+	err := client.Call(ctx, balancer.Address, peer.MethodStatus, peer.StatusArgs{All: true}, &reply)
 	return reply, err
 }
 
