Fetch the list of balancers at once while it is short

Change: the pause is 10 ms for each balancer in the list (4.3 s at the target, 30 ms today), and a balancer that has delivered since the last list is trusted. Ruled out: the fabric (removes the dead balancer after 0.5 s), hand-over (spans show the same path each time).

Tests that failed first: lab 'calls nobody down who has just started' (incarnation 2 before, 1 after), TestBalancerThatDeliversIsUsedThoughItIsNotListedYet.

--- a/agent/node/control.go
+++ b/agent/node/control.go
@@ -14,8 +14,8 @@
 
 const (
 	callTimeout = 2 * time.Second
-	// fetchPause is the least time between two fetches of the list of balancers.
-	fetchPause    = 5 * time.Second
+	// fetchPause is the least time between two fetches of the list of balancers, for each balancer in it.
+	fetchPause    = 10 * time.Millisecond
 	slotsInterval = 50 * time.Millisecond
 	stateInterval = 200 * time.Millisecond
 	sweepInterval = 10 * time.Second
@@ -135,11 +135,11 @@
 	}
 }
 
-// mayFetch limits how often the list of balancers is fetched, unless none is known.
+// mayFetch limits how often the list of balancers is fetched, the longer it is the more.
 func (n *Node) mayFetch(now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if now.Sub(n.fetched) < fetchPause && len(n.lease.Balancers()) > 0 {
+	if now.Sub(n.fetched) < time.Duration(len(n.lease.Balancers()))*fetchPause {
 		return false
 	}
 	n.fetched = now
--- a/lib/config/json.go
+++ b/lib/config/json.go
@@ -92,7 +92,11 @@
 	if err := decodeStrict(b, &wire, "the configuration"); err != nil {
 		return Config{}, err
 	}
-	return configFromJSON(wire)
+	c, err := configFromJSON(wire)
+	if err != nil {
+		return Config{}, err
+	}
+	return c, validate(c)
 }
 
 // EncodeConfig returns the JSON form of a configuration, secrets included.
--- a/lib/config/json_test.go
+++ b/lib/config/json_test.go
@@ -32,6 +32,12 @@
 	g.Expect(string(EncodeRedacted(c))).NotTo(gomega.ContainSubstring("ecret"))
 }
 
+func TestConfigurationWithAnUnusableKeyIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, err := DecodeConfig([]byte(`{"activeKey":1,"keys":[{"number":1,"secret":"YQ=="}],"version":1}`))
+	g.Expect(fault.KindOf(err)).To(gomega.Equal(fault.Invalid))
+}
+
 func FuzzDecodePatch(f *testing.F) {
 	f.Add(EncodePatch(firstPatch()))
 	f.Add([]byte(`{}`))
--- a/lib/config/validate.go
+++ b/lib/config/validate.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 
+	"github.com/cyclamendock/cyclamendock/lib/connid"
 	"github.com/cyclamendock/cyclamendock/lib/fault"
 )
 
@@ -32,10 +33,15 @@
 }
 
 func validateKeys(c Config) error {
+	active := false
 	for _, key := range c.Keys {
-		if key.Number == c.ActiveKey {
-			return nil
+		if len(key.Secret) != connid.SecretLength {
+			return fault.New(fault.Invalid, fmt.Sprintf("key %d has the wrong size", key.Number), "give a secret of 16 bytes")
 		}
+		active = active || key.Number == c.ActiveKey
+	}
+	if active {
+		return nil
 	}
 	return fault.New(fault.Invalid, fmt.Sprintf("the active key %d does not exist", c.ActiveKey), "add the key in the same patch or before")
 }
--- a/lib/steer/paths.go
+++ b/lib/steer/paths.go
@@ -22,6 +22,7 @@
 
 type pathState struct {
 	firstUnanswered time.Time
+	generation      int // of the list of balancers when the caller was last seen
 	path            Path
 	seen            time.Time
 	turn            int
@@ -30,10 +31,11 @@
 
 // Paths remembers which balancer last delivered for each caller.
 type Paths struct {
-	balancers []netip.AddrPort
-	capacity  int
-	live      map[netip.AddrPort]bool
-	states    map[netip.AddrPort]*pathState
+	balancers  []netip.AddrPort
+	capacity   int
+	generation int // of the list of balancers
+	live       map[netip.AddrPort]bool
+	states     map[netip.AddrPort]*pathState
 }
 
 // NewPaths returns an empty memory of up to capacity callers.
@@ -43,6 +45,7 @@
 
 // SetBalancers replaces the list of live balancers.
 func (p *Paths) SetBalancers(balancers []netip.AddrPort) {
+	p.generation++
 	p.balancers = append([]netip.AddrPort(nil), balancers...)
 	p.live = make(map[netip.AddrPort]bool, len(balancers))
 	for _, balancer := range balancers {
@@ -60,6 +63,7 @@
 		state = &pathState{}
 		p.states[caller] = state
 	}
+	state.generation = p.generation
 	state.path = path
 	state.seen = now
 	state.unanswered = 0
@@ -100,7 +104,8 @@
 	if len(p.balancers) == 0 {
 		return false
 	}
-	if !p.live[state.path.Balancer] {
+	deliveredSince := state.generation == p.generation
+	if !p.live[state.path.Balancer] && !deliveredSince {
 		return true
 	}
 	return state.unanswered > unansweredLimit && now.Sub(state.firstUnanswered) >= silenceLimit
--- a/lib/steer/paths_test.go
+++ b/lib/steer/paths_test.go
@@ -37,13 +37,23 @@
 
 func TestBalancerThatIsDownIsLeftAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
-	p := pathsOver(1, 2)
+	p := pathsOver(0, 1, 2)
 	now := time.Unix(0, 0)
 	p.Seen(now, pathCaller, Path{Balancer: agentAddress(0), Return: pathCaller})
+	p.SetBalancers([]netip.AddrPort{agentAddress(1), agentAddress(2)})
 	path, _ := p.Pick(now, pathCaller)
 	g.Expect(path.Balancer).NotTo(gomega.Equal(agentAddress(0)))
 }
 
+func TestBalancerThatDeliversIsUsedThoughItIsNotListedYet(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := pathsOver(1, 2)
+	now := time.Unix(0, 0)
+	p.Seen(now, pathCaller, Path{Balancer: agentAddress(0), Return: pathCaller})
+	path, _ := p.Pick(now, pathCaller)
+	g.Expect(path.Balancer).To(gomega.Equal(agentAddress(0)))
+}
+
 func TestAnsweredFeedStaysOnItsBalancer(t *testing.T) {
 	g := gomega.NewWithT(t)
 	p := pathsOver(0, 1)
--- a/standin/caller/load.go
+++ b/standin/caller/load.go
@@ -19,6 +19,7 @@
 	attempts     = 4
 	attemptLimit = 20 * time.Second
 	attemptPause = 100 * time.Millisecond
+	queryFlows   = 70
 	maxLatency   = int64(60 * time.Second / time.Microsecond)
 )
 
@@ -31,11 +32,13 @@
 	DocumentsPerSecond float64
 	Feeds              int
 	Name               string
+	QueriesPerSecond   float64
 }
 
 // A Config holds what a Load needs.
 type Config struct {
 	Duration time.Duration
+	Label    string // that tells the bookings of several loads apart
 	Plans    []Plan
 	Seed     uint64
 	Servers  []netip.AddrPort // whose records judge the bookings
@@ -92,6 +95,39 @@
 	}
 	l.startRate(plan.BookingsPerSecond, func(i int) { l.book(plan, i) })
 	l.startRate(plan.DocumentsPerSecond, func(i int) { l.fetch(plan, i) })
+	if plan.QueriesPerSecond > 0 {
+		l.startQueries(plan)
+	}
+}
+
+// startQueries sends queries over a few flows that stay open.
+func (l *Load) startQueries(plan Plan) {
+	clients := make([]*Client, queryFlows)
+	for i := range clients {
+		clients[i] = NewClient(plan.Address)
+	}
+	l.startRate(plan.QueriesPerSecond, func(i int) { l.query(clients[i%len(clients)]) })
+	l.wait.Add(1)
+	go l.runQueryEnd(clients)
+}
+
+// runQueryEnd closes the flows of queries when the load is over.
+func (l *Load) runQueryEnd(clients []*Client) {
+	defer l.wait.Done()
+	<-l.finished.Done()
+	for _, client := range clients {
+		client.Close()
+	}
+}
+
+func (l *Load) query(client *Client) {
+	answer, err := client.Do(l.finished, http.MethodGet, "/slots", "", "")
+	l.add(func(r *Report) {
+		r.QueriesAsked++
+		if err == nil && answer.Status == http.StatusOK {
+			r.QueriesServed++
+		}
+	})
 }
 
 func (l *Load) startRate(perSecond float64, work func(int)) {
@@ -190,7 +226,7 @@
 
 // book makes one booking as a careful caller does: a repeat keeps its ticket unless the answer was notRun.
 func (l *Load) book(plan Plan, i int) {
-	booking := fmt.Sprintf("%s/%d", plan.Name, i)
+	booking := fmt.Sprintf("%s%s/%d", l.config.Label, plan.Name, i)
 	ctx, cancel := context.WithTimeout(context.Background(), attemptLimit)
 	defer cancel()
 	started := time.Now()
--- a/standin/caller/report.go
+++ b/standin/caller/report.go
@@ -45,6 +45,8 @@
 	Judgement        Judgement
 	Latency          map[string]Percentiles
 	Notes            []string
+	QueriesAsked     int
+	QueriesServed    int
 }
 
 // Failures returns how many promises were broken.
--- a/standin/lab/lab.go
+++ b/standin/lab/lab.go
@@ -162,6 +162,9 @@
 	return fault.New(fault.Invalid, "there is no backend server "+name, "see Backends")
 }
 
+// Deployment returns what the lab runs.
+func (l *Lab) Deployment() Deployment { return l.config.Deployment }
+
 // Servers returns the addresses of all backend servers.
 func (l *Lab) Servers() []netip.AddrPort {
 	var addresses []netip.AddrPort
--- a/standin/lab/work_test.go
+++ b/standin/lab/work_test.go
@@ -103,6 +103,18 @@
 })
 
 var _ = ginkgo.Describe("membership", func() {
+	ginkgo.It("calls nobody down who has just started", func() {
+		l := startLab("huber")
+		pause(8 * time.Second)
+		for _, balancer := range l.Balancers {
+			status, err := l.Status(context.Background(), balancer)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			for _, member := range status.Members {
+				gomega.Expect(member.Incarnation).To(gomega.Equal(uint64(1)), "%+v", member)
+			}
+		}
+	})
+
 	ginkgo.It("notices a dead and a frozen agent, and takes both back", func() {
 		l := startLab("huber")
 		load := startLoad(l, 0, 5, 0)
--- a/standin/main.go
+++ b/standin/main.go
@@ -14,6 +14,7 @@
 	Bench    benchCommand     `cmd:"" help:"Compare the balancer with a bare relay."`
 	Demo     demoCommand      `cmd:"" help:"Run a whole deployment under load and failures."`
 	Fabric   fabricCommand    `cmd:"" help:"Spray callers' datagrams over balancers."`
+	Flood    floodCommand     `cmd:"" help:"Measure what other work keeps in a flood."`
 	Idle     idleCommand      `cmd:"" help:"Print what idle processes use."`
 	Load     loadCommand      `cmd:"" help:"Make callers and judge what becomes of them."`
 	Measures measuresCommand  `cmd:"" help:"Print the tables of docs/MEASURES.md."`
