Share the daemons' command line and the pull of configuration

Cause: read as a newcomer, agent and balancer had the same main and the same pull, and three stand-in commands made the same temporary deployment. Each now stands once: lib/daemon (generic over settings), lib/follow, withLab.

Ruled out as not the same logic: field decoders and settings tables, which only share a shape.

--- a/agent/main.go
+++ b/agent/main.go
@@ -2,44 +2,17 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
-
-	"github.com/alecthomas/kong"
 
 	"github.com/cyclamendock/cyclamendock/agent/node"
-	"github.com/cyclamendock/cyclamendock/lib/setup"
+	"github.com/cyclamendock/cyclamendock/lib/daemon"
 )
 
-type options struct {
-	Check    bool             `help:"Check the settings and exit."`
-	Settings string           `help:"Path of the JSON settings." required:"" type:"path"`
-	Version  kong.VersionFlag `help:"Print the version and exit."`
-}
-
 func main() {
-	var opts options
-	kong.Parse(&opts, kong.Name("agent"), kong.Description("Ends callers' flows beside one backend server."), kong.Vars{"version": setup.Version})
-	if err := run(opts); err != nil {
-		fmt.Fprintln(os.Stderr, "agent:", err)
-		os.Exit(setup.ExitCode(err))
-	}
-}
-
-func run(opts options) error {
-	settings, err := node.LoadSettings(opts.Settings)
-	if err != nil || opts.Check {
-		return err
-	}
-	n, err := node.New(settings)
-	if err != nil {
-		return err
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	n.Run(ctx)
-	return nil
+	os.Exit(daemon.Main(daemon.Program[node.Settings]{
+		Help: "Ends callers' flows beside one backend server.",
+		Load: node.LoadSettings,
+		Name: "agent",
+		New:  func(settings node.Settings) (daemon.Runner, error) { return node.New(settings) },
+	}))
 }
--- a/agent/node/follow.go
+++ b/agent/node/follow.go
@@ -9,8 +9,8 @@
 	"github.com/cyclamendock/cyclamendock/lib/connid"
 	"github.com/cyclamendock/cyclamendock/lib/drain"
 	"github.com/cyclamendock/cyclamendock/lib/fleet"
+	"github.com/cyclamendock/cyclamendock/lib/follow"
 	"github.com/cyclamendock/cyclamendock/lib/logs"
-	"github.com/cyclamendock/cyclamendock/lib/peer"
 	"github.com/cyclamendock/cyclamendock/lib/ticket"
 )
 
@@ -57,24 +57,12 @@
 	n.mu.Lock()
 	since := n.holder.Current().Version
 	n.mu.Unlock()
-	var reply peer.ConfigReply
-	if err := n.calls.Call(ctx, from, peer.MethodConfig, peer.ConfigArgs{Since: since}, &reply); err != nil {
-		return err
-	}
-	if len(reply.Whole) > 0 {
-		whole, err := config.DecodeConfig(reply.Whole)
-		if err != nil {
-			return err
-		}
-		n.offerWhole(whole)
-		return nil
-	}
-	entries, err := config.DecodeEntries(reply.Entries)
+	update, err := follow.Pull(ctx, n.calls, from, since)
 	if err != nil {
 		return err
 	}
 	n.mu.Lock()
-	changed, _ := n.holder.Offer(entries)
+	changed := update.Apply(n.holder)
 	n.mu.Unlock()
 	if changed {
 		n.applyConfig()
--- a/balancer/node/calls.go
+++ b/balancer/node/calls.go
@@ -8,6 +8,7 @@
 	"github.com/cyclamendock/cyclamendock/lib/config"
 	"github.com/cyclamendock/cyclamendock/lib/fault"
 	"github.com/cyclamendock/cyclamendock/lib/fleet"
+	"github.com/cyclamendock/cyclamendock/lib/follow"
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/peer"
 )
@@ -83,23 +84,11 @@
 	defer cancel()
 	var since uint64
 	n.state.locked(func() { since = n.state.version() })
-	var reply peer.ConfigReply
-	if err := n.calls.Call(ctx, from, peer.MethodConfig, peer.ConfigArgs{Since: since}, &reply); err != nil {
+	update, err := follow.Pull(ctx, n.calls, from, since)
+	if err != nil {
 		return err
 	}
-	if len(reply.Whole) > 0 {
-		whole, err := config.DecodeConfig(reply.Whole)
-		if err != nil {
-			return err
-		}
-		n.state.locked(func() { n.state.offerWhole(whole) })
-	} else {
-		entries, err := config.DecodeEntries(reply.Entries)
-		if err != nil {
-			return err
-		}
-		n.state.locked(func() { n.state.offer(entries) })
-	}
+	n.state.locked(func() { n.state.update(update) })
 	n.configChanged(since)
 	return nil
 }
--- a/balancer/node/state.go
+++ b/balancer/node/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/cyclamendock/cyclamendock/lib/config"
 	"github.com/cyclamendock/cyclamendock/lib/fleet"
+	"github.com/cyclamendock/cyclamendock/lib/follow"
 	"github.com/cyclamendock/cyclamendock/lib/peer"
 )
 
@@ -85,6 +86,12 @@
 	return gap
 }
 
+func (s *State) update(update follow.Update) {
+	if update.Apply(s.holder) {
+		s.changed = true
+	}
+}
+
 func (s *State) offerWhole(whole config.Config) {
 	if s.holder.OfferWhole(whole) {
 		s.changed = true
--- a/standin/bench.go
+++ b/standin/bench.go
@@ -1,8 +1,8 @@
 package main
 
 import (
+	"context"
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/standin/lab"
@@ -16,29 +16,26 @@
 
 // Run prints how many datagrams a second of processor time forwards, against a bare relay.
 func (c *benchCommand) Run() error {
-	dir, err := os.MkdirTemp("", "bench")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
 	deployment, err := lab.FindDeployment("huber")
 	if err != nil {
 		return err
 	}
 	for pair := range c.Pairs {
-		l, err := lab.New(lab.Config{Bin: c.Bin, Deployment: deployment, Dir: dir, Seed: uint64(pair) + 1})
-		if err != nil {
-			return err
-		}
-		ctx, stop := untilSignal()
-		balancer, bare, err := l.BenchForwarding(ctx, c.Span)
-		stop()
-		l.Stop()
+		config := lab.Config{Bin: c.Bin, Deployment: deployment, Seed: uint64(pair) + 1}
+		err := withLab(config, func(ctx context.Context, l *lab.Lab) error { return c.runPair(ctx, l, pair) })
 		if err != nil {
 			return err
 		}
-		fmt.Printf("pair %d: balancer %.0f, bare relay %.0f datagrams per second of processor time, ratio %.2f\n",
-			pair+1, balancer.PerSecond(), bare.PerSecond(), balancer.PerSecond()/bare.PerSecond())
 	}
 	return nil
 }
+
+func (c *benchCommand) runPair(ctx context.Context, l *lab.Lab, pair int) error {
+	balancer, bare, err := l.BenchForwarding(ctx, c.Span)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("pair %d: balancer %.0f, bare relay %.0f datagrams per second of processor time, ratio %.2f\n",
+		pair+1, balancer.PerSecond(), bare.PerSecond(), balancer.PerSecond()/bare.PerSecond())
+	return nil
+}
--- a/standin/flood.go
+++ b/standin/flood.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/standin/caller"
@@ -25,27 +24,19 @@
 
 // Run prints what bookings and the other service's documents keep while slot queries flood tenfold.
 func (c *floodCommand) Run() error {
-	dir, err := os.MkdirTemp("", "flood")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
 	deployment, err := lab.FindDeployment(c.Deployment)
 	if err != nil {
 		return err
 	}
 	slowDown(&deployment)
-	l, err := lab.New(lab.Config{Bin: c.Bin, Deployment: deployment, Dir: dir, Seed: c.Seed})
-	if err != nil {
-		return err
-	}
-	defer l.Stop()
-	ctx, stop := untilSignal()
-	defer stop()
+	return withLab(lab.Config{Bin: c.Bin, Deployment: deployment, Seed: c.Seed}, c.measure)
+}
+
+func (c *floodCommand) measure(ctx context.Context, l *lab.Lab) error {
 	if err := l.Start(ctx); err != nil {
 		return err
 	}
-	desk := deployment.Services[0]
+	desk := l.Deployment().Services[0]
 	capacity := float64(desk.Backends*desk.Slots) / floodTypical.Seconds()
 	c.run(ctx, l, "warm ", 0, floodWarm)
 	calm := c.run(ctx, l, "calm ", 0, c.Span)
--- a/standin/idle.go
+++ b/standin/idle.go
@@ -1,8 +1,8 @@
 package main
 
 import (
+	"context"
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/standin/lab"
@@ -16,22 +16,14 @@
 
 // Run prints what balancers and agents use while no caller comes.
 func (c *idleCommand) Run() error {
-	dir, err := os.MkdirTemp("", "idle")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
 	deployment, err := lab.FindDeployment("huber")
 	if err != nil {
 		return err
 	}
-	l, err := lab.New(lab.Config{Bin: c.Bin, Deployment: deployment, Dir: dir, Seed: c.Seed})
-	if err != nil {
-		return err
-	}
-	defer l.Stop()
-	ctx, stop := untilSignal()
-	defer stop()
+	return withLab(lab.Config{Bin: c.Bin, Deployment: deployment, Seed: c.Seed}, c.watch)
+}
+
+func (c *idleCommand) watch(ctx context.Context, l *lab.Lab) error {
 	if err := l.Start(ctx); err != nil {
 		return err
 	}
