Offer a new flow to no agent twice

The trace shows an agent that a previous owner had sent a datagram to, and that stood last in its list: its own offer came back at the end of the chain, it repeated the offer, and the copies circled until each reached its hop limit at another agent.

Change: the datagram lists the agents that have not been offered the flow yet, and each takes itself out; the count of visited ones is gone. Ruled out: the hop limit (only where it ends), crossed offers (none in the trace).

--- a/lib/steer/placer.go
+++ b/lib/steer/placer.go
@@ -219,9 +219,9 @@
 		best, bestLoad = p.config.Self, load.Self
 	}
 	f.Best, f.BestLoad = best, bestLoad
-	f.Visited++
-	if next, ok := p.nextCandidate(f); ok {
-		return p.pass(now, key, next, load, f)
+	f.Candidates = without(f.Candidates, p.config.Self)
+	if len(f.Candidates) > 0 {
+		return p.pass(now, key, f.Candidates[0], load, f)
 	}
 	switch {
 	case !best.IsValid():
@@ -246,17 +246,6 @@
 	}
 }
 
-func (p *Placer) nextCandidate(f *wire.Forward) (netip.AddrPort, bool) {
-	for int(f.Visited) < len(f.Candidates) {
-		next := f.Candidates[f.Visited]
-		if next != p.config.Self {
-			return next, true
-		}
-		f.Visited++
-	}
-	return netip.AddrPort{}, false
-}
-
 func (p *Placer) pass(now time.Time, key Key, to netip.AddrPort, load Load, f *wire.Forward) Outcome {
 	if f.Hops > maxHops {
 		return p.settle(now, key, load)
@@ -305,6 +294,17 @@
 	return address.Compare(other) < 0
 }
 
+// without returns the candidates but one, so that no agent is offered the same datagram twice.
+func without(candidates []netip.AddrPort, self netip.AddrPort) []netip.AddrPort {
+	rest := make([]netip.AddrPort, 0, len(candidates))
+	for _, candidate := range candidates {
+		if candidate != self {
+			rest = append(rest, candidate)
+		}
+	}
+	return rest
+}
+
 // routing returns a copy of the forward without its datagram.
 func routing(f *wire.Forward) wire.Forward {
 	kept := *f
--- a/lib/wire/forward.go
+++ b/lib/wire/forward.go
@@ -7,7 +7,7 @@
 )
 
 // MaxCandidates is the greatest number of agents that a forward may name.
-const MaxCandidates = 4
+const MaxCandidates = 3
 
 // A Phase tells an agent what is asked of it for a new flow.
 type Phase uint8
@@ -29,14 +29,13 @@
 	Best       netip.AddrPort // the least utilised agent that has passed the flow on
 	BestLoad   uint32         // parts per million of capacity
 	Caller     netip.AddrPort
-	Candidates []netip.AddrPort
+	Candidates []netip.AddrPort // agents that have not been offered the flow yet
 	Datagram   []byte
 	Hops       uint8
 	Phase      Phase
 	Previous   netip.AddrPort // the owner under the membership before the latest change
 	Return     netip.AddrPort // where the balancer sends answers for the caller
 	Service    uint16
-	Visited    uint8 // candidates that have already seen the flow
 }
 
 const (
@@ -50,7 +49,6 @@
 	forwardBestLoad
 	forwardPhase
 	forwardHops
-	forwardVisited
 	forwardDatagram
 )
 
@@ -71,7 +69,6 @@
 	dst = fields.AppendVarint(dst, forwardBestLoad, uint64(f.BestLoad))
 	dst = fields.AppendVarint(dst, forwardPhase, uint64(f.Phase))
 	dst = fields.AppendVarint(dst, forwardHops, uint64(f.Hops))
-	dst = fields.AppendVarint(dst, forwardVisited, uint64(f.Visited))
 	return fields.AppendBytes(dst, forwardDatagram, f.Datagram)
 }
 
@@ -121,8 +118,6 @@
 		f.Phase = Phase(item.Value)
 	case forwardHops:
 		f.Hops = uint8(item.Value)
-	case forwardVisited:
-		f.Visited = uint8(item.Value)
 	case forwardDatagram:
 		f.Datagram = item.Bytes
 	}
