--- a/agent/node/node.go
+++ b/agent/node/node.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
@@ -233,15 +234,32 @@
 	server := n.http
 	n.mu.Unlock()
 	n.flows.Add(1)
-	if err := server.ServeQUICConn(conn); err != nil {
-		n.log.Debug("Flow ended.", logs.Fields{"caller": conn.RemoteAddr().String(), "reason": err.Error()})
-	}
+	_ = server.ServeQUICConn(conn)
+	cause := endOf(context.Cause(conn.Context()))
+	n.stats.Counter("cyclamendock_agent_flows_ended_total", "cause", cause).Inc()
+	n.log.Debug("Flow ended.", logs.Fields{"caller": conn.RemoteAddr().String(), "cause": cause})
 	n.flows.Add(-1)
 	n.mu.Lock()
 	delete(n.open, conn)
 	n.mu.Unlock()
 }
 
+// endOf tells a flow that its caller or a drain closed from one that broke.
+func endOf(err error) string {
+	var closed *quic.ApplicationError
+	var idle *quic.IdleTimeoutError
+	switch {
+	case errors.As(err, &closed) && closed.Remote:
+		return "caller"
+	case errors.As(err, &closed):
+		return "agent"
+	case errors.As(err, &idle):
+		return "timeout"
+	default:
+		return "broken"
+	}
+}
+
 func (n *Node) close() {
 	n.log.Info("Stopped.", nil)
 	n.stop()
@@ -269,6 +287,7 @@
 	})
 	n.stats.Gauge("cyclamendock_agent_flows", func() float64 { return float64(n.flows.Load()) })
 	n.stats.Gauge("cyclamendock_agent_load", func() float64 { return float64(n.load().Self) })
+	n.stats.Gauge("cyclamendock_agent_mean_load", func() float64 { return float64(n.mean.Load()) })
 	n.stats.Gauge("cyclamendock_agent_speed", func() float64 { return float64(n.slots.Usage(0).Speed) / 1000 })
 	n.stats.Gauge("cyclamendock_agent_waiting", func() float64 { return float64(n.slots.Usage(0).Waiting) })
 	n.stats.Gauge("cyclamendock_agent_takes_flows", func() float64 {
--- a/agent/serve/handler.go
+++ b/agent/serve/handler.go
@@ -179,6 +179,7 @@
 		response, err := h.config.Backend.Send(ctx, call)
 		if err == nil {
 			h.config.Slots.Sample(index, time.Since(started), false)
+			h.config.Stats.Counter("cyclamendock_agent_served_total", "kind", kind.Name).Inc()
 			return response, nil
 		}
 		if !fault.Is(err, fault.Missing) || !h.mayRetry(ctx, kind, call.Deadline) {
--- a/standin/caller/report.go
+++ b/standin/caller/report.go
@@ -11,9 +11,9 @@
 // Percentiles are latencies in milliseconds.
 type Percentiles struct {
 	Count int64
+	Max   float64
 	P50   float64
 	P99   float64
-	Max   float64
 }
 
 // A Judgement compares what callers were told with what the backend servers ran.
--- a/standin/load.go
+++ b/standin/load.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"encoding/json"
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/standin/caller"
@@ -49,12 +47,3 @@
 	}).Run(ctx)
 	return printReport(report)
 }
-
-func printReport(report caller.Report) error {
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(report); err != nil {
-		return err
-	}
-	return verdict(report)
-}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -42,6 +42,7 @@
 	CutAfterRun bool   // close the connection instead of answering a booking that has run
 	Draining    bool   // what the health endpoint says
 	Health      string // a lie for the health endpoint
+	Load        string // a lie, or an old answer, for the load endpoint
 	Shed        bool   // every request
 	Slowdown    float64
 }
@@ -90,6 +91,7 @@
 	mux.HandleFunc("GET /documents/{name}", s.slotted(s.document))
 	mux.HandleFunc("GET /feed", s.feed)
 	mux.HandleFunc("GET /health", s.health)
+	mux.HandleFunc("GET /load", s.load)
 	mux.HandleFunc("GET /runs", s.listRuns)
 	mux.HandleFunc("GET /slots", s.slotted(s.slotList))
 	mux.HandleFunc("POST /bookings", s.slotted(s.book))
@@ -227,6 +229,16 @@
 	}
 }
 
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mood.Load != "" {
+		_, _ = io.WriteString(w, s.mood.Load)
+		return
+	}
+	_, _ = fmt.Fprintf(w, "%d of %d\n", s.running, s.config.Slots)
+}
+
 func (s *Server) listRuns(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
