--- a/standin/lab/flows_test.go
+++ b/standin/lab/flows_test.go
@@ -58,6 +58,23 @@
 		expectWhole(report)
 	})
 
+	ginkgo.It("survive a balancer and an agent that freeze and wake", func() {
+		l := startLab("huber")
+		load := startLoad(l, 40, 5, 5)
+		pause(2 * time.Second)
+		l.Pause("balancer-2")
+		l.Pause("termine-3")
+		pause(8 * time.Second)
+		l.Resume("balancer-2")
+		l.Resume("termine-3")
+		pause(6 * time.Second)
+		expectWhole(load.end())
+		for _, name := range []string{"balancer-2", "termine-3"} {
+			gomega.Eventually(func() string { return memberState(l, l.Balancers[0], name) }, eventualLimit).
+				Should(gomega.Equal("alive"))
+		}
+	})
+
 	ginkgo.It("survive a platform outage with a balancer that joins meanwhile", func() {
 		l := startLab("huber")
 		load := startLoad(l, 40, 5, 5)
