Give two packages names of the house's length

Cause: the house style wants package names of four to six letters; cmd and lab had three. They are opers and stage now, with their types and files.

--- a/cyclamendock/cmd/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package cmd holds the operators' commands, one file for each.
-package cmd
--- a/cyclamendock/main.go
+++ b/cyclamendock/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"github.com/cyclamendock/cyclamendock/cyclamendock/cmd"
+	"github.com/cyclamendock/cyclamendock/cyclamendock/opers"
 )
 
-func main() { os.Exit(cmd.Execute()) }
+func main() { os.Exit(opers.Execute()) }
--- a/cyclamendock/cmd/check.go
+++ b/cyclamendock/opers/check.go
@@ -1,4 +1,4 @@
-package cmd
+package opers
 
 import (
 	agent "github.com/cyclamendock/cyclamendock/agent/node"
--- a/cyclamendock/cmd/config.go
+++ b/cyclamendock/opers/config.go
@@ -1,4 +1,4 @@
-package cmd
+package opers
 
 import (
 	"bytes"
--- /dev/null
+++ b/cyclamendock/opers/doc.go
@@ -0,0 +1,2 @@
+// Package opers holds the operators' commands, one file for each.
+package opers
--- a/cyclamendock/cmd/drain.go
+++ b/cyclamendock/opers/drain.go
@@ -1,4 +1,4 @@
-package cmd
+package opers
 
 import "github.com/cyclamendock/cyclamendock/lib/config"
 
--- a/standin/bench.go
+++ b/standin/bench.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cyclamendock/cyclamendock/standin/lab"
+	"github.com/cyclamendock/cyclamendock/standin/stage"
 )
 
 type benchCommand struct {
@@ -16,13 +16,13 @@
 
 // Run prints how many datagrams a second of processor time forwards, against a bare relay.
 func (c *benchCommand) Run() error {
-	deployment, err := lab.FindDeployment("huber")
+	deployment, err := stage.FindDeployment("huber")
 	if err != nil {
 		return err
 	}
 	for pair := range c.Pairs {
-		config := lab.Config{Bin: c.Bin, Deployment: deployment, Seed: uint64(pair) + 1}
-		err := withLab(config, func(ctx context.Context, l *lab.Lab) error { return c.runPair(ctx, l, pair) })
+		config := stage.Config{Bin: c.Bin, Deployment: deployment, Seed: uint64(pair) + 1}
+		err := withStage(config, func(ctx context.Context, l *stage.Stage) error { return c.runPair(ctx, l, pair) })
 		if err != nil {
 			return err
 		}
@@ -30,7 +30,7 @@
 	return nil
 }
 
-func (c *benchCommand) runPair(ctx context.Context, l *lab.Lab, pair int) error {
+func (c *benchCommand) runPair(ctx context.Context, l *stage.Stage, pair int) error {
 	balancer, bare, err := l.BenchForwarding(ctx, c.Span)
 	if err != nil {
 		return err
--- a/standin/demo.go
+++ b/standin/demo.go
@@ -8,7 +8,7 @@
 	"github.com/cyclamendock/cyclamendock/lib/config"
 	"github.com/cyclamendock/cyclamendock/lib/fault"
 	"github.com/cyclamendock/cyclamendock/standin/caller"
-	"github.com/cyclamendock/cyclamendock/standin/lab"
+	"github.com/cyclamendock/cyclamendock/standin/stage"
 )
 
 const (
@@ -29,11 +29,11 @@
 
 // Run starts the deployment, loads it, kills a balancer, drains a backend server and prints the report.
 func (c *demoCommand) Run() error {
-	deployment, err := lab.FindDeployment(c.Deployment)
+	deployment, err := stage.FindDeployment(c.Deployment)
 	if err != nil {
 		return err
 	}
-	l, err := lab.New(lab.Config{Bin: c.Bin, Deployment: deployment, Dir: c.Dir, Seed: c.Seed, Trace: true})
+	l, err := stage.New(stage.Config{Bin: c.Bin, Deployment: deployment, Dir: c.Dir, Seed: c.Seed, Trace: true})
 	if err != nil {
 		return err
 	}
@@ -60,7 +60,7 @@
 	return printReport(report)
 }
 
-func (c *demoCommand) plans(l *lab.Lab, deployment lab.Deployment) []caller.Plan {
+func (c *demoCommand) plans(l *stage.Stage, deployment stage.Deployment) []caller.Plan {
 	desk, library := deployment.Services[0].Name, deployment.Services[1].Name
 	return []caller.Plan{
 		{Address: l.Services[desk], BookingsPerSecond: demoRate, Feeds: c.Feeds, Name: desk},
@@ -72,7 +72,7 @@
 }
 
 // runFailures kills a balancer at a third of the time and drains a backend server at half of it.
-func (c *demoCommand) runFailures(ctx context.Context, l *lab.Lab) {
+func (c *demoCommand) runFailures(ctx context.Context, l *stage.Stage) {
 	if !sleep(ctx, c.Duration/3) {
 		return
 	}
--- a/standin/flood.go
+++ b/standin/flood.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/standin/caller"
-	"github.com/cyclamendock/cyclamendock/standin/lab"
+	"github.com/cyclamendock/cyclamendock/standin/stage"
 )
 
 const (
@@ -24,15 +24,15 @@
 
 // Run prints what bookings and the other service's documents keep while slot queries flood tenfold.
 func (c *floodCommand) Run() error {
-	deployment, err := lab.FindDeployment(c.Deployment)
+	deployment, err := stage.FindDeployment(c.Deployment)
 	if err != nil {
 		return err
 	}
 	slowDown(&deployment)
-	return withLab(lab.Config{Bin: c.Bin, Deployment: deployment, Seed: c.Seed}, c.measure)
+	return withStage(stage.Config{Bin: c.Bin, Deployment: deployment, Seed: c.Seed}, c.measure)
 }
 
-func (c *floodCommand) measure(ctx context.Context, l *lab.Lab) error {
+func (c *floodCommand) measure(ctx context.Context, l *stage.Stage) error {
 	if err := l.Start(ctx); err != nil {
 		return err
 	}
@@ -61,7 +61,7 @@
 }
 
 // slowDown makes requests long, so that few callers are a flood.
-func slowDown(d *lab.Deployment) {
+func slowDown(d *stage.Deployment) {
 	for i := range d.Services {
 		d.Services[i].Typical = floodTypical
 		for k := range d.Services[i].Kinds {
@@ -71,9 +71,9 @@
 }
 
 // run loads bookings at about a quarter of the first service and documents at a quarter of the second.
-func (c *floodCommand) run(ctx context.Context, l *lab.Lab, label string, queries float64, span time.Duration) caller.Report {
+func (c *floodCommand) run(ctx context.Context, l *stage.Stage, label string, queries float64, span time.Duration) caller.Report {
 	desk, library := l.Deployment().Services[0], l.Deployment().Services[1]
-	rate := func(plan lab.ServicePlan) float64 {
+	rate := func(plan stage.ServicePlan) float64 {
 		return float64(plan.Backends*plan.Slots) / floodTypical.Seconds() / 4
 	}
 	return caller.NewLoad(caller.Config{
--- a/standin/idle.go
+++ b/standin/idle.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cyclamendock/cyclamendock/standin/lab"
+	"github.com/cyclamendock/cyclamendock/standin/stage"
 )
 
 type idleCommand struct {
@@ -16,19 +16,19 @@
 
 // Run prints what balancers and agents use while no caller comes.
 func (c *idleCommand) Run() error {
-	deployment, err := lab.FindDeployment("huber")
+	deployment, err := stage.FindDeployment("huber")
 	if err != nil {
 		return err
 	}
-	return withLab(lab.Config{Bin: c.Bin, Deployment: deployment, Seed: c.Seed}, c.watch)
+	return withStage(stage.Config{Bin: c.Bin, Deployment: deployment, Seed: c.Seed}, c.watch)
 }
 
-func (c *idleCommand) watch(ctx context.Context, l *lab.Lab) error {
+func (c *idleCommand) watch(ctx context.Context, l *stage.Stage) error {
 	if err := l.Start(ctx); err != nil {
 		return err
 	}
 	names := []string{l.Balancers[0].Name, l.Balancers[1].Name, l.Backends[0].Name, l.Backends[1].Name}
-	before := map[string]lab.Usage{}
+	before := map[string]stage.Usage{}
 	for _, name := range names {
 		before[name] = l.Usage(name)
 	}
--- a/standin/lab/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package lab runs a whole deployment as processes on loopback, for the demo and the failure tests.
-package lab
--- a/standin/measures.go
+++ b/standin/measures.go
@@ -6,8 +6,8 @@
 
 	"github.com/cyclamendock/cyclamendock/lib/config"
 	"github.com/cyclamendock/cyclamendock/lib/steer"
-	"github.com/cyclamendock/cyclamendock/standin/lab"
 	"github.com/cyclamendock/cyclamendock/standin/model"
+	"github.com/cyclamendock/cyclamendock/standin/stage"
 )
 
 const (
@@ -114,7 +114,7 @@
 	fmt.Println("\n| deployment | service | flooded kind | urgency | one queue | kinds of work (chosen) |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- |")
 	for _, name := range []string{"huber", "barfani"} {
-		deployment, err := lab.FindDeployment(name)
+		deployment, err := stage.FindDeployment(name)
 		if err != nil {
 			return err
 		}
@@ -129,7 +129,7 @@
 	return nil
 }
 
-func (c *measuresCommand) printFlood(deployment string, plan lab.ServicePlan, kind config.Kind) {
+func (c *measuresCommand) printFlood(deployment string, plan stage.ServicePlan, kind config.Kind) {
 	var without, with float64
 	for i := range uint64(measureSeeds) {
 		flood := model.FloodConfig{
--- a/standin/lab/bench.go
+++ b/standin/stage/bench.go
@@ -1,4 +1,4 @@
-package lab
+package stage
 
 import (
 	"context"
@@ -32,7 +32,7 @@
 func (r BenchResult) PerSecond() float64 { return float64(r.Forwarded) / r.CPU.Seconds() }
 
 // BenchForwarding floods the first balancer and a bare relay in turn, each limited to one processor.
-func (l *Lab) BenchForwarding(ctx context.Context, span time.Duration) (balancer, bare BenchResult, err error) {
+func (l *Stage) BenchForwarding(ctx context.Context, span time.Duration) (balancer, bare BenchResult, err error) {
 	sink, err := link.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
 		return balancer, bare, err
@@ -56,7 +56,7 @@
 }
 
 // startBench starts the platform, one balancer and the bare relay.
-func (l *Lab) startBench(ctx context.Context, sink netip.AddrPort) (netip.AddrPort, error) {
+func (l *Stage) startBench(ctx context.Context, sink netip.AddrPort) (netip.AddrPort, error) {
 	bare, err := l.ports.take()
 	if err != nil {
 		return bare, err
@@ -83,7 +83,7 @@
 }
 
 // benchDatagram returns a datagram of an established flow whose agent is the sink.
-func (l *Lab) benchDatagram(sink netip.AddrPort) ([]byte, error) {
+func (l *Stage) benchDatagram(sink netip.AddrPort) ([]byte, error) {
 	keyring, err := connid.NewKeyring([]connid.Key{{Number: 1, Secret: [connid.SecretLength]byte(l.key)}}, 1)
 	if err != nil {
 		return nil, err
@@ -100,7 +100,7 @@
 	return append(header, payload[:benchPayload]...), nil
 }
 
-func (l *Lab) flood(name string, to netip.AddrPort, datagram []byte, counter *benchSink, span time.Duration) (BenchResult, error) {
+func (l *Stage) flood(name string, to netip.AddrPort, datagram []byte, counter *benchSink, span time.Duration) (BenchResult, error) {
 	source, err := link.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
 		return BenchResult{}, err
--- a/standin/lab/flows_test.go
+++ b/standin/stage/flows_test.go
@@ -1,4 +1,4 @@
-package lab
+package stage
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 
 	for _, deployment := range []string{"huber", "barfani"} {
 		ginkgo.It("survive a balancer's death and return in "+deployment, func() {
-			l := startLab(deployment)
+			l := startStage(deployment)
 			load := startLoad(l, 40, 5, 5)
 			pause(3 * time.Second)
 			l.Kill("balancer-1")
@@ -30,7 +30,7 @@
 	}
 
 	ginkgo.It("survive a rolling restart of every balancer", func() {
-		l := startLab("huber")
+		l := startStage("huber")
 		load := startLoad(l, 40, 5, 5)
 		pause(2 * time.Second)
 		for _, balancer := range l.Balancers {
@@ -43,7 +43,7 @@
 	})
 
 	ginkgo.It("survive a key rotation together with a drain and a balancer's death", func() {
-		l := startLab("huber")
+		l := startStage("huber")
 		load := startLoad(l, 40, 5, 5)
 		pause(2 * time.Second)
 		_, err := l.Patch(ctx, "rotate",
@@ -59,7 +59,7 @@
 	})
 
 	ginkgo.It("survive a balancer and an agent that freeze and wake", func() {
-		l := startLab("huber")
+		l := startStage("huber")
 		load := startLoad(l, 40, 5, 5)
 		pause(2 * time.Second)
 		l.Pause("balancer-2")
@@ -76,7 +76,7 @@
 	})
 
 	ginkgo.It("survive a platform outage with a balancer that joins meanwhile", func() {
-		l := startLab("huber")
+		l := startStage("huber")
 		load := startLoad(l, 40, 5, 5)
 		pause(2 * time.Second)
 		gomega.Expect(l.SetPlatformMood(object.Mood{Down: true})).To(gomega.Succeed())
--- a/standin/lab/layout.go
+++ b/standin/stage/layout.go
@@ -1,4 +1,4 @@
-package lab
+package stage
 
 import (
 	"encoding/json"
@@ -13,11 +13,11 @@
 	"github.com/cyclamendock/cyclamendock/lib/trace"
 )
 
-// loopback is the only network in which a lab's processes trust each other.
+// loopback is the only network in which a stage's processes trust each other.
 const loopback = "127.0.0.0/8"
 
 // layOut chooses names, zones and addresses.
-func (l *Lab) layOut() error {
+func (l *Stage) layOut() error {
 	d := l.config.Deployment
 	var failed error
 	take := func() netip.AddrPort {
@@ -55,7 +55,7 @@
 	return failed
 }
 
-func (l *Lab) startAll() error {
+func (l *Stage) startAll() error {
 	if err := l.run("platform", "standin", "platform", "--address", l.Platform.String()); err != nil {
 		return err
 	}
@@ -78,7 +78,7 @@
 	})
 }
 
-func (l *Lab) startFabric() error {
+func (l *Stage) startFabric() error {
 	arguments := []string{"fabric", "--seed", fmt.Sprint(l.config.Seed)}
 	for _, plan := range l.config.Deployment.Services {
 		arguments = append(arguments, "--service", l.Services[plan.Name].String())
@@ -89,7 +89,7 @@
 	return l.run("fabric", "standin", arguments...)
 }
 
-func (l *Lab) startBalancer(b Balancer) error {
+func (l *Stage) startBalancer(b Balancer) error {
 	settings := l.common(b.Name, b.Zone, b.Address, b.Metrics)
 	settings["fabricNetworks"] = []string{loopback}
 	settings["frontAddress"] = b.Front.String()
@@ -99,7 +99,7 @@
 	return l.run(b.Name, "balancer", "--settings", l.settingsPath(b.Name))
 }
 
-func (l *Lab) startBackend(b Backend) error {
+func (l *Stage) startBackend(b Backend) error {
 	plan := l.plan(b.Service)
 	serverName := "server-" + b.Name
 	if err := l.run(serverName, "standin", "server",
@@ -117,7 +117,7 @@
 	return l.run(b.Name, "agent", "--settings", l.settingsPath(b.Name))
 }
 
-func (l *Lab) plan(service string) ServicePlan {
+func (l *Stage) plan(service string) ServicePlan {
 	for _, plan := range l.config.Deployment.Services {
 		if plan.Name == service {
 			return plan
@@ -127,7 +127,7 @@
 }
 
 // common returns the settings that balancers and agents share.
-func (l *Lab) common(name, zone string, address, metrics netip.AddrPort) map[string]any {
+func (l *Stage) common(name, zone string, address, metrics netip.AddrPort) map[string]any {
 	settings := map[string]any{
 		"address":          address.String(),
 		"availabilityZone": zone,
@@ -142,14 +142,14 @@
 	return settings
 }
 
-func (l *Lab) traceOutput(name string) string {
+func (l *Stage) traceOutput(name string) string {
 	if !l.config.Trace {
 		return trace.Off
 	}
 	return filepath.Join(l.config.Dir, "trace-"+name+".json")
 }
 
-func (l *Lab) seeds() []string {
+func (l *Stage) seeds() []string {
 	var seeds []string
 	for _, balancer := range l.Balancers {
 		seeds = append(seeds, balancer.Address.String())
@@ -157,11 +157,11 @@
 	return seeds
 }
 
-func (l *Lab) settingsPath(name string) string {
+func (l *Stage) settingsPath(name string) string {
 	return filepath.Join(l.config.Dir, strings.ReplaceAll(name, "/", "-")+".settings.json")
 }
 
-func (l *Lab) writeSettings(name string, settings map[string]any) error {
+func (l *Stage) writeSettings(name string, settings map[string]any) error {
 	b, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "settings can't be encoded", "report this")
--- a/standin/lab/process.go
+++ b/standin/stage/process.go
@@ -1,4 +1,4 @@
-package lab
+package stage
 
 import (
 	"os"
--- a/standin/lab/lab.go
+++ b/standin/stage/stage.go
@@ -1,4 +1,4 @@
-package lab
+package stage
 
 import (
 	"bytes"
@@ -31,7 +31,7 @@
 	callTimeout = 5 * time.Second
 )
 
-// A Config holds what a Lab needs.
+// A Config holds what a Stage needs.
 type Config struct {
 	Bin        string // folder of the programs
 	Deployment Deployment
@@ -60,8 +60,8 @@
 	Zone    string
 }
 
-// A Lab is a running deployment.
-type Lab struct {
+// A Stage is a running deployment.
+type Stage struct {
 	Backends  []Backend
 	Balancers []Balancer
 	Platform  netip.AddrPort
@@ -76,8 +76,8 @@
 }
 
 // New lays out a deployment without starting anything.
-func New(c Config) (*Lab, error) {
-	l := &Lab{
+func New(c Config) (*Stage, error) {
+	l := &Stage{
 		Services:  map[string]netip.AddrPort{},
 		config:    c,
 		key:       secret(connid.SecretLength),
@@ -91,7 +91,7 @@
 }
 
 // Start runs every process and applies the first patch.
-func (l *Lab) Start(ctx context.Context) error {
+func (l *Stage) Start(ctx context.Context) error {
 	if err := l.startAll(); err != nil {
 		return err
 	}
@@ -105,7 +105,7 @@
 }
 
 // Stop ends every process that was started.
-func (l *Lab) Stop() {
+func (l *Stage) Stop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range l.processes {
@@ -118,42 +118,42 @@
 }
 
 // Kill ends a process without warning.
-func (l *Lab) Kill(name string) {
+func (l *Stage) Kill(name string) {
 	l.find(name).signal(syscall.SIGKILL)
 	l.find(name).waitEnd(endLimit)
 }
 
 // Pause freezes a process.
-func (l *Lab) Pause(name string) { l.find(name).signal(syscall.SIGSTOP) }
+func (l *Stage) Pause(name string) { l.find(name).signal(syscall.SIGSTOP) }
 
 // Resume lets a frozen process go on.
-func (l *Lab) Resume(name string) { l.find(name).signal(syscall.SIGCONT) }
+func (l *Stage) Resume(name string) { l.find(name).signal(syscall.SIGCONT) }
 
 // Terminate asks a process to end and reports whether it did within the limit.
-func (l *Lab) Terminate(name string, limit time.Duration) bool {
+func (l *Stage) Terminate(name string, limit time.Duration) bool {
 	l.find(name).signal(syscall.SIGTERM)
 	return l.find(name).waitEnd(limit)
 }
 
 // Restart starts a process again that has ended.
-func (l *Lab) Restart(name string) error { return l.find(name).start() }
+func (l *Stage) Restart(name string) error { return l.find(name).start() }
 
 // Patch applies operations to the version in force.
-func (l *Lab) Patch(ctx context.Context, id string, operations ...config.Operation) (config.Result, error) {
+func (l *Stage) Patch(ctx context.Context, id string, operations ...config.Operation) (config.Result, error) {
 	head, _, err := config.ReadHead(ctx, l.platform)
 	if err != nil {
 		return config.Result{}, err
 	}
-	return config.Submit(ctx, l.platform, config.Patch{Author: "lab", Base: head.Version, ID: id, Operations: operations})
+	return config.Submit(ctx, l.platform, config.Patch{Author: "stage", Base: head.Version, ID: id, Operations: operations})
 }
 
 // SetPlatformMood makes the platform misbehave.
-func (l *Lab) SetPlatformMood(mood object.Mood) error {
+func (l *Stage) SetPlatformMood(mood object.Mood) error {
 	return post("http://"+l.Platform.String()+"/mood", mood)
 }
 
 // SetServerMood makes a backend server misbehave.
-func (l *Lab) SetServerMood(name string, mood server.Mood) error {
+func (l *Stage) SetServerMood(name string, mood server.Mood) error {
 	for _, backend := range l.Backends {
 		if backend.Name == name {
 			return post("http://"+backend.Server.String()+"/mood", mood)
@@ -162,11 +162,11 @@
 	return fault.New(fault.Invalid, "there is no backend server "+name, "see Backends")
 }
 
-// Deployment returns what the lab runs.
-func (l *Lab) Deployment() Deployment { return l.config.Deployment }
+// Deployment returns what the stage runs.
+func (l *Stage) Deployment() Deployment { return l.config.Deployment }
 
 // Servers returns the addresses of all backend servers.
-func (l *Lab) Servers() []netip.AddrPort {
+func (l *Stage) Servers() []netip.AddrPort {
 	var addresses []netip.AddrPort
 	for _, backend := range l.Backends {
 		addresses = append(addresses, backend.Server)
@@ -175,7 +175,7 @@
 }
 
 // Status returns one balancer's view of the fleet.
-func (l *Lab) Status(ctx context.Context, balancer Balancer) (peer.StatusReply, error) {
+func (l *Stage) Status(ctx context.Context, balancer Balancer) (peer.StatusReply, error) {
 	client := peer.NewClient()
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -186,7 +186,7 @@
 }
 
 // WaitReady waits until every balancer and agent is healthy and every balancer knows every member.
-func (l *Lab) WaitReady(ctx context.Context) error {
+func (l *Stage) WaitReady(ctx context.Context) error {
 	members := len(l.Backends) + len(l.Balancers)
 	return l.WaitFor(ctx, "the fleet to be ready", func() bool {
 		for _, backend := range l.Backends {
@@ -205,7 +205,7 @@
 }
 
 // WaitFor waits until a condition holds, or returns an Unavailable fault.
-func (l *Lab) WaitFor(ctx context.Context, what string, holds func() bool) error {
+func (l *Stage) WaitFor(ctx context.Context, what string, holds func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
 	defer cancel()
 	for !holds() {
@@ -251,21 +251,21 @@
 	return response.Body.Close()
 }
 
-func (l *Lab) waitPlatform(ctx context.Context) error {
+func (l *Stage) waitPlatform(ctx context.Context) error {
 	return l.WaitFor(ctx, "the platform", func() bool {
 		_, err := l.platform.List(ctx, "")
 		return err == nil
 	})
 }
 
-func (l *Lab) find(name string) *Process {
+func (l *Stage) find(name string) *Process {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.processes[name]
 }
 
 // run starts a program of the deployment, after which it can be found by its name.
-func (l *Lab) run(name, program string, arguments ...string) error {
+func (l *Stage) run(name, program string, arguments ...string) error {
 	p := &Process{
 		arguments: arguments,
 		log:       filepath.Join(l.config.Dir, name+".log"),
@@ -278,7 +278,7 @@
 	return p.start()
 }
 
-func (l *Lab) firstOperations() []config.Operation {
+func (l *Stage) firstOperations() []config.Operation {
 	operations := []config.Operation{
 		config.AddKey{Key: config.Key{Number: 1, Secret: l.key}},
 		config.ActivateKey{Number: 1},
--- a/standin/lab/lab_test.go
+++ b/standin/stage/stage_test.go
@@ -1,4 +1,4 @@
-package lab
+package stage
 
 import (
 	"context"
@@ -25,17 +25,17 @@
 // bin is where make build puts the programs.
 const bin = "../../bin"
 
-var labSeed = proof.Seed()
+var stageSeed = proof.Seed()
 
-// startLab runs a deployment until the spec ends.
-func startLab(name string) *Lab {
+// startStage runs a deployment until the spec ends.
+func startStage(name string) *Stage {
 	ginkgo.GinkgoHelper()
 	deployment, err := FindDeployment(name)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	path, err := filepath.Abs(bin)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	labSeed++
-	l, err := New(Config{Bin: path, Deployment: deployment, Dir: ginkgo.GinkgoT().TempDir(), Seed: labSeed})
+	stageSeed++
+	l, err := New(Config{Bin: path, Deployment: deployment, Dir: ginkgo.GinkgoT().TempDir(), Seed: stageSeed})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(l.Stop)
 	gomega.Expect(l.Start(context.Background())).To(gomega.Succeed())
@@ -50,7 +50,7 @@
 }
 
 // startLoad loads the first two services until end is called.
-func startLoad(l *Lab, feeds int, bookings, documents float64) *run {
+func startLoad(l *Stage, feeds int, bookings, documents float64) *run {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &run{cancel: cancel}
 	first, second := l.config.Deployment.Services[0].Name, l.config.Deployment.Services[1].Name
@@ -63,7 +63,7 @@
 				DocumentsPerSecond: documents, Feeds: feeds / 3, Name: second,
 			},
 		},
-		Seed:    labSeed,
+		Seed:    stageSeed,
 		Servers: l.Servers(),
 	})
 	r.wait.Go(func() { r.report = load.Run(ctx) })
@@ -85,7 +85,7 @@
 
 func pause(d time.Duration) { time.Sleep(d) }
 
-func memberState(l *Lab, balancer Balancer, name string) string {
+func memberState(l *Stage, balancer Balancer, name string) string {
 	status, err := l.Status(context.Background(), balancer)
 	if err != nil {
 		return "unreachable"
@@ -98,7 +98,7 @@
 	return "unknown"
 }
 
-func lowestVersion(l *Lab) uint64 {
+func lowestVersion(l *Stage) uint64 {
 	lowest := ^uint64(0)
 	for _, balancer := range l.Balancers {
 		status, err := l.Status(context.Background(), balancer)
--- a/standin/lab/usage.go
+++ b/standin/stage/usage.go
@@ -1,4 +1,4 @@
-package lab
+package stage
 
 import (
 	"os"
@@ -16,7 +16,7 @@
 }
 
 // Usage returns what a process of the deployment has used, or zeros when it has ended.
-func (l *Lab) Usage(name string) Usage {
+func (l *Stage) Usage(name string) Usage {
 	pid := l.find(name).command.Process.Pid
 	return Usage{CPU: processorTime(pid), Memory: residentBytes(pid)}
 }
--- a/standin/lab/work_test.go
+++ b/standin/stage/work_test.go
@@ -1,4 +1,4 @@
-package lab
+package stage
 
 import (
 	"context"
@@ -18,7 +18,7 @@
 const eventualLimit = 20 * time.Second
 
 // newFeeds opens short feeds one after the other and returns on which backend servers they landed.
-func newFeeds(l *Lab, service string, count int) map[string]int {
+func newFeeds(l *Stage, service string, count int) map[string]int {
 	landed := map[string]int{}
 	for range count {
 		client := caller.NewClient(l.Services[service])
@@ -37,7 +37,7 @@
 	ctx := context.Background()
 
 	ginkgo.It("from all three causes take no new flow and cut nothing", func() {
-		l := startLab("huber")
+		l := startStage("huber")
 		load := startLoad(l, 42, 5, 2)
 		pause(3 * time.Second)
 		_, err := l.Patch(ctx, "drain", config.Drain{Member: "termine-1"})
@@ -58,7 +58,7 @@
 	})
 
 	ginkgo.It("with SIGTERM on an idle agent and a balancer end them soon", func() {
-		l := startLab("huber")
+		l := startStage("huber")
 		gomega.Expect(l.Terminate("termine-1", 10*time.Second)).To(gomega.BeTrue())
 		gomega.Expect(l.Terminate("balancer-1", 10*time.Second)).To(gomega.BeTrue())
 	})
@@ -68,7 +68,7 @@
 	ctx := context.Background()
 
 	ginkgo.It("is in force everywhere soon, though answers are lost and two operators race", func() {
-		l := startLab("huber")
+		l := startStage("huber")
 		gomega.Expect(l.SetPlatformMood(object.Mood{LoseAnswers: 1})).To(gomega.Succeed())
 		result, err := l.Patch(ctx, "lost", config.Drain{Member: "termine-1"})
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -92,7 +92,7 @@
 	})
 
 	ginkgo.It("reaches everybody after a platform outage", func() {
-		l := startLab("huber")
+		l := startStage("huber")
 		gomega.Expect(l.SetPlatformMood(object.Mood{Down: true})).To(gomega.Succeed())
 		pause(3 * time.Second)
 		gomega.Expect(l.SetPlatformMood(object.Mood{})).To(gomega.Succeed())
@@ -104,7 +104,7 @@
 
 var _ = ginkgo.Describe("membership", func() {
 	ginkgo.It("calls nobody down who has just started", func() {
-		l := startLab("huber")
+		l := startStage("huber")
 		pause(8 * time.Second)
 		for _, balancer := range l.Balancers {
 			status, err := l.Status(context.Background(), balancer)
@@ -116,7 +116,7 @@
 	})
 
 	ginkgo.It("notices a dead and a frozen agent, and takes both back", func() {
-		l := startLab("huber")
+		l := startStage("huber")
 		load := startLoad(l, 0, 5, 0)
 		l.Pause("termine-1")
 		l.Kill("termine-2")
@@ -137,7 +137,7 @@
 
 var _ = ginkgo.Describe("new flows", func() {
 	ginkgo.It("all open right after agents have died", func() {
-		l := startLab("huber")
+		l := startStage("huber")
 		l.Kill("termine-1")
 		l.Kill("termine-2")
 		landed := newFeeds(l, "termine", 40)
@@ -151,7 +151,7 @@
 
 var _ = ginkgo.Describe("bookings", func() {
 	ginkgo.It("run at most once while agents and backend servers die", func() {
-		l := startLab("huber")
+		l := startStage("huber")
 		load := startLoad(l, 0, 40, 0)
 		pause(2 * time.Second)
 		l.Kill("termine-1")
@@ -168,7 +168,7 @@
 	})
 
 	ginkgo.It("with a ticket of one agent run once wherever the caller's later flows land", func() {
-		l := startLab("huber")
+		l := startStage("huber")
 		ctx := context.Background()
 		first := caller.NewClient(l.Services["termine"])
 		defer first.Close()
