Refuse settings without trusted networks

Cause: read as an operator would: without trustedNetworks an agent would have dropped hand-overs and tickets of other agents, and balancers the announcements of new hosts, with only a counter to show it. Both daemons now refuse such settings with key and remedy; in mode proxy the fabric's networks are demanded too.

--- a/agent/node/settings.go
+++ b/agent/node/settings.go
@@ -88,7 +88,7 @@
 		Seeds:            check.Addresses("seeds", raw.Seeds),
 		Service:          check.Required("service", raw.Service),
 		Trace:            check.Trace(raw.Trace),
-		TrustedNetworks:  check.Networks("trustedNetworks", raw.TrustedNetworks),
+		TrustedNetworks:  check.SomeNetworks("trustedNetworks", raw.TrustedNetworks),
 		Weight:           raw.Weight,
 	}
 	if (raw.CertificateFile == "") != (raw.KeyFile == "") {
--- a/balancer/node/settings.go
+++ b/balancer/node/settings.go
@@ -54,7 +54,6 @@
 		Address:          check.Address("address", raw.Address),
 		AvailabilityZone: check.Required("availabilityZone", raw.AvailabilityZone),
 		Direct:           check.OneOf("frontMode", raw.FrontMode, "proxy", "direct") == "direct",
-		FabricNetworks:   check.Networks("fabricNetworks", raw.FabricNetworks),
 		Log:              check.Log(raw.Log),
 		MaxDatagram:      raw.MaxDatagram,
 		Metrics:          check.Address("metricsAddress", raw.MetricsAddress),
@@ -63,9 +62,10 @@
 		Region:           check.Required("region", raw.Region),
 		Seeds:            check.Addresses("seeds", raw.Seeds),
 		Trace:            check.Trace(raw.Trace),
-		TrustedNetworks:  check.Networks("trustedNetworks", raw.TrustedNetworks),
+		TrustedNetworks:  check.SomeNetworks("trustedNetworks", raw.TrustedNetworks),
 	}
 	if !settings.Direct {
+		settings.FabricNetworks = check.SomeNetworks("fabricNetworks", raw.FabricNetworks)
 		settings.Front = check.Address("frontAddress", raw.FrontAddress)
 	}
 	if settings.MaxDatagram == 0 {
--- a/balancer/node/settings_test.go
+++ b/balancer/node/settings_test.go
@@ -18,7 +18,9 @@
   "metricsAddress": "127.0.0.1:7003",
   "name": "balancer-1",
   "platformUrl": "http://127.0.0.1:7000",
-  "region": "oberbayern"
+  "region": "oberbayern",
+  "trustedNetworks": ["192.0.2.0/24"],
+  "fabricNetworks": ["198.51.100.0/24"]
 }`
 
 func load(t testing.TB, text string) error {
@@ -38,8 +40,10 @@
 	cases := map[string]struct{ from, to, key string }{
 		"bad address":  {`"127.0.0.1:7001"`, `"localhost"`, "address"},
 		"bad mode":     {`"region"`, `"frontMode": "magic", "region"`, "frontMode"},
-		"bad network":  {`"region"`, `"trustedNetworks": ["x"], "region"`, "trustedNetworks"},
+		"bad network":  {`"192.0.2.0/24"`, `"x"`, "trustedNetworks"},
 		"missing zone": {`"weilheim"`, `""`, "availabilityZone"},
+		"no fabric":    {`["198.51.100.0/24"]`, `[]`, "fabricNetworks"},
+		"no networks":  {`["192.0.2.0/24"]`, `[]`, "trustedNetworks"},
 		"unknown key":  {`"region"`, `"regoin": "x", "region"`, "regoin"},
 	}
 	for name, c := range cases {
--- a/lib/setup/load.go
+++ b/lib/setup/load.go
@@ -90,6 +90,14 @@
 	return prefixes
 }
 
+// SomeNetworks parses a list of networks that must not be empty.
+func (c *Checker) SomeNetworks(key string, texts []string) []netip.Prefix {
+	if len(texts) == 0 {
+		c.Fail(key, "is empty", "name the networks from which messages may come, such as 192.0.2.0/24")
+	}
+	return c.Networks(key, texts)
+}
+
 // Duration parses a duration, which is the fallback when the text is empty.
 func (c *Checker) Duration(key, text string, fallback time.Duration) time.Duration {
 	if text == "" {
