--- a/standin/stage/work_test.go
+++ b/standin/stage/work_test.go
@@ -115,6 +115,16 @@
 		}
 	})
 
+	ginkgo.It("takes a restarted agent back while the platform is down", func() {
+		l := startStage("huber")
+		gomega.Expect(l.SetPlatformMood(object.Mood{Down: true})).To(gomega.Succeed())
+		l.Kill("termine-1")
+		gomega.Expect(l.Restart("termine-1")).To(gomega.Succeed())
+		gomega.Eventually(func() bool { return healthy(l.Backends[0].Metrics) }, eventualLimit).Should(gomega.BeTrue())
+		gomega.Eventually(func() map[string]int { return newFeeds(l, "termine", 30) }, eventualLimit).
+			Should(gomega.HaveKey("termine-1"))
+	})
+
 	ginkgo.It("notices a dead and a frozen agent, and takes both back", func() {
 		l := startStage("huber")
 		load := startLoad(l, 0, 5, 0)
