Serve both HTTP stand-ins from one place

Cause: platform and backend server had the same start and stop, with a goroutine that was no method of an owner.

--- /dev/null
+++ b/standin/listen/doc.go
@@ -0,0 +1,2 @@
+// Package listen serves the stand-ins' HTTP.
+package listen
--- a/standin/object/platform.go
+++ b/standin/object/platform.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,6 +12,7 @@
 
 	"github.com/cyclamendock/cyclamendock/lib/fault"
 	"github.com/cyclamendock/cyclamendock/lib/store"
+	"github.com/cyclamendock/cyclamendock/standin/listen"
 )
 
 // A Mood is how the platform misbehaves.
@@ -43,19 +43,7 @@
 
 // Run serves until the context ends.
 func (p *Platform) Run(ctx context.Context, address string) error {
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{Handler: p.Handler()}
-	go func() {
-		<-ctx.Done()
-		_ = server.Close()
-	}()
-	if err := server.Serve(listener); err != http.ErrServerClosed {
-		return err
-	}
-	return nil
+	return listen.Serve(ctx, address, p.Handler())
 }
 
 // Handler returns the platform's HTTP API, with /mood and /counts for tests.
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"hash/crc32"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -16,6 +15,7 @@
 
 	"github.com/cyclamendock/cyclamendock/lib/ticket"
 	"github.com/cyclamendock/cyclamendock/lib/trace"
+	"github.com/cyclamendock/cyclamendock/standin/listen"
 )
 
 const (
@@ -70,19 +70,7 @@
 
 // Run serves until the context ends.
 func (s *Server) Run(ctx context.Context, address string) error {
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{Handler: s.Handler()}
-	go func() {
-		<-ctx.Done()
-		_ = server.Close()
-	}()
-	if err := server.Serve(listener); err != http.ErrServerClosed {
-		return err
-	}
-	return nil
+	return listen.Serve(ctx, address, s.Handler())
 }
 
 // Handler returns the backend server's HTTP API, with /mood and /runs for tests.
