Show heat in status and fit it to a terminal

Cause: status did not show heat, which operators ask for first, and its lines were up to 100 columns wide.

--- a/agent/node/control.go
+++ b/agent/node/control.go
@@ -101,6 +101,7 @@
 		Config: n.holder.Current().Version,
 		Flows:  uint32(n.flows.Load()),
 		Load:   load,
+		Speed:  uint32(n.slots.Usage(0).Speed),
 	})
 	n.mu.Unlock()
 	if len(keepers) == 0 {
--- a/balancer/node/state.go
+++ b/balancer/node/state.go
@@ -170,6 +170,7 @@
 		Role:        record.Role.String(),
 		Service:     record.Service,
 		SilentMS:    sight.Silent.Milliseconds(),
+		Speed:       sight.Speed,
 		State:       record.State.String(),
 		Zone:        record.Zone,
 	}
--- a/cyclamendock/opers/status.go
+++ b/cyclamendock/opers/status.go
@@ -19,6 +19,7 @@
 	clearScreen    = "\x1b[H\x1b[2J"
 	statusTimeout  = 2 * time.Second
 	watchInterval  = 2 * time.Second
+	perMillePart   = 10
 	perMillionPart = 10_000
 )
 
@@ -90,9 +91,9 @@
 	for _, zone := range view.zones() {
 		s.printf("\nZone %s: lowest version in force %s\n", zone.Name, versionText(zone.Lowest))
 		for _, member := range zone.Members {
-			s.printf("  %-20s %-9s %-12s %-9s flows %-6d load %-7s version %s%s\n",
-				member.Name, member.Role, member.Service, member.State, member.Flows,
-				loadText(member.Load), versionText(member.Config), lagText(view.Newest, member))
+			s.printf("  %-14s %-10s %-8s %5d flows  load %-6s speed %-4s v%s%s\n",
+				member.Name, member.Service, member.State, member.Flows, loadText(member.Load),
+				speedText(member.Speed), versionText(member.Config), lagText(view.Newest, member))
 		}
 	}
 	return nil
@@ -105,6 +106,14 @@
 	return "does not answer"
 }
 
+// speedText returns how fast a backend server works, which falls with heat.
+func speedText(speed uint32) string {
+	if speed == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%d%%", speed/perMillePart)
+}
+
 // loadText returns a load as a share of capacity, or that the member takes no new flows.
 func loadText(load uint32) string {
 	if load == steer.Closed {
--- a/cyclamendock/opers/view.go
+++ b/cyclamendock/opers/view.go
@@ -77,24 +77,25 @@
 
 func versionText(version uint64) string {
 	if version == 0 {
-		return "unknown"
+		return "?"
 	}
 	return fmt.Sprint(version)
 }
 
 type memberJSON struct {
-	Address     string  `json:"address"`
-	Closed      bool    `json:"closed"`
-	Flows       uint32  `json:"flows"`
-	Incarnation uint64  `json:"incarnation"`
-	Lags        bool    `json:"lags"`
-	LoadPercent float64 `json:"loadPercent"`
-	Name        string  `json:"name"`
-	Role        string  `json:"role"`
-	Service     string  `json:"service,omitempty"`
-	State       string  `json:"state"`
-	Version     uint64  `json:"version"`
-	Zone        string  `json:"zone"`
+	Address      string  `json:"address"`
+	Closed       bool    `json:"closed"`
+	Flows        uint32  `json:"flows"`
+	Incarnation  uint64  `json:"incarnation"`
+	Lags         bool    `json:"lags"`
+	LoadPercent  float64 `json:"loadPercent"`
+	Name         string  `json:"name"`
+	Role         string  `json:"role"`
+	Service      string  `json:"service,omitempty"`
+	SpeedPercent uint32  `json:"speedPercent"`
+	State        string  `json:"state"`
+	Version      uint64  `json:"version"`
+	Zone         string  `json:"zone"`
 }
 
 type viewJSON struct {
@@ -112,18 +113,19 @@
 			load = 0
 		}
 		wire.Members = append(wire.Members, memberJSON{
-			Address:     m.Address,
-			Closed:      closed,
-			Flows:       m.Flows,
-			Incarnation: m.Incarnation,
-			Lags:        lagText(v.Newest, m) != "",
-			LoadPercent: load,
-			Name:        m.Name,
-			Role:        m.Role,
-			Service:     m.Service,
-			State:       m.State,
-			Version:     m.Config,
-			Zone:        m.Zone,
+			Address:      m.Address,
+			Closed:       closed,
+			Flows:        m.Flows,
+			Incarnation:  m.Incarnation,
+			Lags:         lagText(v.Newest, m) != "",
+			LoadPercent:  load,
+			Name:         m.Name,
+			Role:         m.Role,
+			Service:      m.Service,
+			SpeedPercent: m.Speed / perMillePart,
+			State:        m.State,
+			Version:      m.Config,
+			Zone:         m.Zone,
 		})
 	}
 	return wire
--- a/lib/fleet/codec.go
+++ b/lib/fleet/codec.go
@@ -30,6 +30,7 @@
 	beatNameHash
 	beatSequence
 	beatBoot
+	beatSpeed
 )
 
 const (
@@ -144,6 +145,7 @@
 	dst = fields.AppendVarint(dst, beatLoad, uint64(h.Load))
 	dst = fields.AppendFixed(dst, beatNameHash, h.NameHash)
 	dst = fields.AppendVarint(dst, beatSequence, h.Sequence)
+	dst = fields.AppendVarint(dst, beatSpeed, uint64(h.Speed))
 	return fields.AppendFixed(dst, beatBoot, h.Boot)
 }
 
@@ -165,6 +167,8 @@
 			h.Sequence = f.Value
 		case beatBoot:
 			h.Boot = f.Value
+		case beatSpeed:
+			h.Speed = uint32(f.Value)
 		}
 		return true
 	})
--- a/lib/fleet/keeper.go
+++ b/lib/fleet/keeper.go
@@ -45,6 +45,7 @@
 	Load   uint32 // parts per million of capacity
 	Name   string
 	Silent time.Duration
+	Speed  uint32 // of the backend server, per mille of its typical one
 }
 
 // A Keeper watches the leases that fall to one balancer.
@@ -167,6 +168,7 @@
 			Load:   w.beat.Load,
 			Name:   name,
 			Silent: now.Sub(w.lastSeen),
+			Speed:  w.beat.Speed,
 		})
 	}
 	return sights
--- a/lib/fleet/lease.go
+++ b/lib/fleet/lease.go
@@ -19,6 +19,7 @@
 	Config uint64
 	Flows  uint32
 	Load   uint32 // parts per million of capacity
+	Speed  uint32 // of the backend server, per mille of its typical one
 }
 
 // A Need is something that a member must do after a reply.
@@ -98,6 +99,7 @@
 		Load:        vitals.Load,
 		NameHash:    NameHash(l.self.Name),
 		Sequence:    l.self.Sequence,
+		Speed:       vitals.Speed,
 	}
 	return beat, l.keepers()
 }
--- a/lib/fleet/message.go
+++ b/lib/fleet/message.go
@@ -8,6 +8,7 @@
 	Load        uint32 // parts per million of capacity
 	NameHash    uint64
 	Sequence    uint64
+	Speed       uint32 // of the backend server, per mille of its typical one
 	Boot        uint64
 }
 
--- a/lib/peer/messages.go
+++ b/lib/peer/messages.go
@@ -48,6 +48,7 @@
 	Role        string
 	Service     string
 	SilentMS    int64
+	Speed       uint32 // of the backend server, per mille of its typical one
 	State       string
 	Zone        string
 }
--- a/standin/slope/fleet.go
+++ b/standin/slope/fleet.go
@@ -102,7 +102,7 @@
 func sampleHeartbeat(record fleet.Record) fleet.Heartbeat {
 	return fleet.Heartbeat{
 		Boot: record.Boot, Config: 1_000_000, Flows: 1900, Incarnation: record.Incarnation, Load: 950_000,
-		NameHash: fleet.NameHash(record.Name), Sequence: record.Sequence,
+		NameHash: fleet.NameHash(record.Name), Sequence: record.Sequence, Speed: 1000,
 	}
 }
 
