--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	go build -o bin/ ./balancer ./agent ./cyclamendock ./standin
 
 test: build
-	SEED=$(SEED) go test -timeout 15m $(PACKAGES)
+	SEED=$(SEED) go test -count=1 -timeout 15m $(PACKAGES)
 
 demo: build
 	./bin/standin demo --deployment $(DEPLOYMENT) --duration $(DURATION) --seed $(SEED)
