--- /dev/null
+++ b/agent/tuple/control.go
@@ -0,0 +1,110 @@
+package tuple
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/carry"
+	"github.com/cyclamendock/cyclamendock/lib/logs"
+	"github.com/cyclamendock/cyclamendock/lib/member"
+)
+
+const (
+	// changeRepeats is how often a change of state is reported again.
+	changeRepeats = 2
+	leaveTimeout  = time.Second
+	// reportInterval is how often balancers that send packets hear of this agent.
+	reportInterval = 100 * time.Millisecond
+	// retryFirst and retryLast bound the pause before the store is called again.
+	retryFirst    = 100 * time.Millisecond
+	retryLast     = 1500 * time.Millisecond
+	sweepInterval = time.Second
+	timerBatch    = 8 // datagrams
+)
+
+// runTimers does what is due by time.
+func (n *Node) runTimers() {
+	out := n.newExit(1, timerBatch)
+	reports := n.clock.Subscribe(reportInterval)
+	sweeps := n.clock.Subscribe(sweepInterval)
+	repeats := 0 // of the last change of state, since datagrams get lost
+	for {
+		select {
+		case <-reports:
+			n.report(out, repeats > 0)
+			repeats = max(0, repeats-1)
+		case <-n.announced:
+			n.report(out, true)
+			repeats = changeRepeats
+		case now := <-sweeps:
+			n.mu.Lock()
+			n.carrier.Sweep(now)
+			n.mu.Unlock()
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) report(out *exit, changed bool) {
+	now := time.Now()
+	n.mu.Lock()
+	report := n.carrier.Report(now)
+	balancers := n.carrier.Balancers(now, changed)
+	n.mu.Unlock()
+	for _, balancer := range balancers {
+		out.peers.Add(report.Append(out.peers.Buffer()), balancer.AddrPort())
+	}
+	out.flush()
+}
+
+// runMembers joins the members and reports to the balancers among them.
+func (n *Node) runMembers() {
+	n.greet(n.config.Seeds)
+	pause := retryFirst
+	for n.ctx.Err() == nil {
+		members, err := n.directory.Join(n.ctx, n.config.First)
+		if err == nil {
+			n.takeMembers(members)
+			return
+		}
+		if n.ctx.Err() == nil {
+			n.config.Log.Warn("This agent can't join.", logs.Fields{"error": err.Error()})
+		}
+		n.sleep(time.Duration((0.5 + rand.Float64()) * float64(pause)))
+		pause = min(2*pause, retryLast)
+		n.greet(n.config.Seeds)
+	}
+}
+
+func (n *Node) takeMembers(members []member.Member) {
+	n.config.Log.Info("Joined.", logs.Fields{"members": len(members)})
+	var balancers []netip.AddrPort
+	for _, m := range members {
+		if m.Role == member.RoleBalancer {
+			balancers = append(balancers, m.Address)
+		}
+	}
+	n.greet(balancers)
+}
+
+// greet reports to balancers that may not know this agent yet.
+func (n *Node) greet(balancers []netip.AddrPort) {
+	now := time.Now()
+	n.mu.Lock()
+	for _, balancer := range balancers {
+		n.carrier.Greeted(now, carry.EndpointOf(balancer))
+	}
+	n.mu.Unlock()
+	n.reportSoon()
+}
+
+func (n *Node) sleep(pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-n.ctx.Done():
+	}
+}
--- /dev/null
+++ b/agent/tuple/node.go
@@ -0,0 +1,189 @@
+package tuple
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/carry"
+	"github.com/cyclamendock/cyclamendock/lib/clock"
+	"github.com/cyclamendock/cyclamendock/lib/fault"
+	"github.com/cyclamendock/cyclamendock/lib/link"
+	"github.com/cyclamendock/cyclamendock/lib/logs"
+	"github.com/cyclamendock/cyclamendock/lib/member"
+	"github.com/cyclamendock/cyclamendock/lib/store"
+	"github.com/cyclamendock/cyclamendock/lib/trust"
+)
+
+const (
+	readBatch       = 32 // datagrams
+	writeBatch      = 32 // datagrams
+	timerResolution = 10 * time.Millisecond
+	// packetLines is how many lines about packets are logged each second.
+	packetLines = 20
+)
+
+// A Config holds what a Node needs.
+type Config struct {
+	Address      netip.AddrPort // for messages between processes
+	BeatInterval time.Duration  // of the backend server's announcements
+	CallerPort   uint16         // to which packets for callers are sent
+	Codec        carry.Codec
+	First        bool // no process has run before
+	FlowLifetime time.Duration
+	Inlet        netip.AddrPort // where the backend server receives packets
+	Log          *logs.Logger
+	Outlet       netip.AddrPort   // to which the backend server sends its packets
+	Seeds        []netip.AddrPort // balancers to report to before the members are known
+	Service      string
+	Store        store.Store
+	Trust        *trust.List
+	Zone         string
+}
+
+// A Node is one agent process.
+type Node struct {
+	announced chan struct{} // a changed announcement has to be reported
+	carrier   *carry.Carrier
+	clock     *clock.Service
+	config    Config
+	ctx       context.Context
+	directory *member.Directory
+	inlet     *net.UDPConn
+	limiter   *logs.Limiter
+	mu        sync.Mutex // guards carrier and server
+	outlet    *link.Socket
+	server    *carry.Server
+	socket    *link.Socket
+	stop      context.CancelFunc
+}
+
+// New opens the sockets of an agent, or returns an Unavailable fault when an address is taken.
+func New(config Config) (*Node, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	server := carry.NewServer(config.Service, config.BeatInterval)
+	n := &Node{
+		announced: make(chan struct{}, 1),
+		carrier: carry.NewCarrier(carry.CarrierConfig{
+			FirstEcho:    rand.Uint32(),
+			FlowLifetime: config.FlowLifetime,
+			Self:         carry.EndpointOf(config.Address),
+			Server:       server,
+			Service:      carry.ServiceIDOf(config.Service),
+			Zone:         carry.ServiceIDOf(config.Zone),
+		}),
+		clock:     clock.NewService(timerResolution),
+		config:    config,
+		ctx:       ctx,
+		directory: member.NewDirectory(config.Store, member.Member{Address: config.Address, Role: member.RoleAgent}),
+		limiter:   logs.NewLimiter(packetLines),
+		server:    server,
+		stop:      stop,
+	}
+	return n, n.open()
+}
+
+func (n *Node) open() error {
+	var err error
+	if n.socket, err = link.Listen(n.config.Address); err != nil {
+		return err
+	}
+	if n.outlet, err = link.Listen(n.config.Outlet); err != nil {
+		return err
+	}
+	n.inlet, err = net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(n.config.Inlet))
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "the backend server's address "+n.config.Inlet.String()+" can't be used", "correct inlet in the settings")
+	}
+	return nil
+}
+
+// Run serves until the context ends. Nothing that a flow needs is lost with the process.
+func (n *Node) Run(ctx context.Context) {
+	n.clock.Start()
+	go n.runSocket()
+	go n.runOutlet()
+	go n.runInlet()
+	go n.runTimers()
+	go n.runMembers()
+	n.config.Log.Info("Started.", logs.Fields{"address": n.config.Address.String(), "service": n.config.Service})
+	<-ctx.Done()
+	n.leave()
+}
+
+// Announce takes an announcement of the backend server and returns why it is refused.
+func (n *Node) Announce(a carry.Announcement) error {
+	now := time.Now()
+	n.mu.Lock()
+	changed, err := n.server.Announce(now, a)
+	n.mu.Unlock()
+	if err != nil {
+		n.config.Log.Warn("Announcement refused.", logs.Fields{"born": a.Born, "error": err.Error(), "id": a.ID, "sequence": a.Sequence})
+		return err
+	}
+	if changed {
+		n.config.Log.Info("Backend server changed.", logs.Fields{"born": a.Born, "id": a.ID, "sequence": a.Sequence, "state": a.State.String()})
+		n.reportSoon()
+	}
+	return nil
+}
+
+// Leave records that the backend server has ended.
+func (n *Node) Leave(id string) {
+	n.mu.Lock()
+	left := n.server.Leave(id)
+	n.mu.Unlock()
+	if left {
+		n.config.Log.Info("Backend server left.", logs.Fields{"id": id})
+		n.reportSoon()
+	}
+}
+
+// reportSoon makes runTimers report to the balancers at once.
+func (n *Node) reportSoon() {
+	select {
+	case n.announced <- struct{}{}:
+	default:
+	}
+}
+
+// sayGoodbye tells the balancers that this agent takes no new flows, or that it has ended for good.
+func (n *Node) sayGoodbye(gone bool) {
+	now := time.Now()
+	n.mu.Lock()
+	report := n.carrier.Report(now)
+	balancers := n.carrier.Balancers(now, true)
+	n.mu.Unlock()
+	report.State = carry.StateUnknown
+	if gone {
+		report.State = carry.StateLeft
+	}
+	for _, balancer := range balancers {
+		n.socket.Send(report.Append(nil), balancer.AddrPort())
+	}
+}
+
+// leave ends at once, and takes the member out of the store when its backend server has ended for good.
+func (n *Node) leave() {
+	n.config.Log.Info("Stopping.", nil)
+	n.mu.Lock()
+	gone := n.server.State(time.Now()) == carry.StateGone
+	n.mu.Unlock()
+	if gone {
+		ctx, cancel := context.WithTimeout(n.ctx, leaveTimeout)
+		if err := n.directory.Leave(ctx); err != nil {
+			n.config.Log.Warn("This agent can't leave the members.", logs.Fields{"error": err.Error()})
+		}
+		cancel()
+	}
+	n.sayGoodbye(gone)
+	n.stop()
+	n.socket.Close()
+	n.outlet.Close()
+	_ = n.inlet.Close()
+	n.clock.Stop()
+	n.config.Log.Info("Stopped.", nil)
+}
--- /dev/null
+++ b/balancer/tuple/control.go
@@ -0,0 +1,207 @@
+package tuple
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/carry"
+	"github.com/cyclamendock/cyclamendock/lib/fault"
+	"github.com/cyclamendock/cyclamendock/lib/logs"
+	"github.com/cyclamendock/cyclamendock/lib/member"
+)
+
+const (
+	// holdLimit is how long a new flow waits for an agent before it is refused.
+	holdLimit = 1200 * time.Millisecond
+	// leaveLinger covers the routers' two missed checks, half a second apart.
+	leaveLinger = 1600 * time.Millisecond
+	// listPause is the least pause between two reads of the members.
+	listPause = 100 * time.Millisecond
+	// retryFirst and retryLast bound the pause before the store is called again.
+	retryFirst    = 100 * time.Millisecond
+	retryLast     = 1500 * time.Millisecond
+	tickInterval  = 10 * time.Millisecond
+	sweepInterval = time.Second
+	// watchPause gathers changes that come in quick succession.
+	watchPause = 100 * time.Millisecond
+)
+
+// runTimers does what is due by time.
+func (n *Node) runTimers() {
+	out := n.newOutlet(timerBatch)
+	ticks := n.clock.Subscribe(tickInterval)
+	sweeps := n.clock.Subscribe(sweepInterval)
+	digests := n.clock.Subscribe(digestInterval)
+	for {
+		select {
+		case <-ticks:
+			n.tick(out)
+		case now := <-sweeps:
+			n.mu.Lock()
+			n.director.Sweep(now)
+			n.mu.Unlock()
+		case <-digests:
+			n.mu.Lock()
+			to := n.peers.next()
+			n.mu.Unlock()
+			n.sendDigests(to)
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) tick(out *outlet) {
+	now := time.Now()
+	n.mu.Lock()
+	verdicts := n.director.Tick(now)
+	greet := n.director.Agents.Greet(now)
+	n.mu.Unlock()
+	for i := range verdicts {
+		out.do(now, &verdicts[i], verdicts[i].Forward.Datagram)
+	}
+	for _, agent := range greet {
+		out.peers.Add(carry.AppendHello(out.peers.Buffer()), agent.AddrPort())
+	}
+	out.flush()
+}
+
+// runConfig follows the configuration in the store.
+func (n *Node) runConfig() {
+	pause := retryFirst
+	var version uint64
+	for n.ctx.Err() == nil {
+		object, err := n.config.Store.Watch(n.ctx, n.config.ConfigKey, version)
+		switch {
+		case err == nil:
+			pause = retryFirst
+			version = object.Version
+			n.takeConfig(object.Value, "store")
+			n.sleep(watchPause)
+		case fault.Is(err, fault.Missing):
+			n.sleep(watchPause)
+		default:
+			n.logStore("The configuration can't be followed.", err)
+			n.sleep(jitter(pause))
+			pause = min(2*pause, retryLast)
+		}
+	}
+}
+
+// takeConfig puts a newer configuration in force and tells the other balancers.
+func (n *Node) takeConfig(value []byte, source string) {
+	routes, err := n.config.Routes(value)
+	if err != nil {
+		n.config.Log.Error("The configuration can't be used.", err, logs.Fields{"source": source})
+		return
+	}
+	n.mu.Lock()
+	taken := n.director.SetRoutes(time.Now(), routes)
+	if taken {
+		n.raw = value
+	}
+	n.mu.Unlock()
+	if !taken {
+		return
+	}
+	n.config.Log.Info("Configuration taken.", logs.Fields{"routes": len(routes.ByAddress), "source": source, "version": routes.Version})
+	n.sendDigests(n.allPeers())
+}
+
+// runMembers joins the members, then reads them whenever the end of a flow has to be proved.
+func (n *Node) runMembers() {
+	n.join()
+	for {
+		select {
+		case <-n.wakeList:
+			n.readMembers()
+			n.sleep(listPause)
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) join() {
+	pause := retryFirst
+	for n.ctx.Err() == nil {
+		members, err := n.directory.Join(n.ctx, n.config.First)
+		if err == nil {
+			n.takeMembers(members)
+			n.config.Log.Info("Joined.", logs.Fields{"members": len(members)})
+			n.sendDigests(n.allPeers())
+			return
+		}
+		n.logStore("This balancer can't join.", err)
+		n.sleep(jitter(pause))
+		pause = min(2*pause, retryLast)
+	}
+}
+
+// readMembers reads the members and ends the flows that none of them can hold.
+func (n *Node) readMembers() {
+	asked := time.Now()
+	members, err := n.directory.List(n.ctx)
+	if err != nil {
+		n.logStore("The members can't be read.", err)
+		n.sleep(retryFirst)
+		n.askForList()
+		return
+	}
+	n.takeMembers(members)
+	out := n.newOutlet(timerBatch)
+	now := time.Now()
+	n.mu.Lock()
+	verdicts := n.director.Listed(now, asked)
+	more := n.director.Proving()
+	n.mu.Unlock()
+	for i := range verdicts {
+		out.do(now, &verdicts[i], nil)
+	}
+	out.flush()
+	if more {
+		n.askForList()
+	}
+}
+
+func (n *Node) takeMembers(members []member.Member) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range members {
+		switch m.Role {
+		case member.RoleAgent:
+			n.director.Agents.Add(now, carry.EndpointOf(m.Address))
+		case member.RoleBalancer:
+			n.peers.add(m.Address)
+		}
+	}
+}
+
+// askForList makes runMembers read the members soon.
+func (n *Node) askForList() {
+	select {
+	case n.wakeList <- struct{}{}:
+	default:
+	}
+}
+
+func (n *Node) sleep(pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-n.ctx.Done():
+	}
+}
+
+func (n *Node) logStore(text string, err error) {
+	if n.ctx.Err() == nil {
+		n.config.Log.Warn(text, logs.Fields{"error": err.Error()})
+	}
+}
+
+// jitter spreads a pause over half to one and a half of it, so that processes don't call in step.
+func jitter(pause time.Duration) time.Duration {
+	return time.Duration((0.5 + rand.Float64()) * float64(pause))
+}
--- /dev/null
+++ b/balancer/tuple/node.go
@@ -0,0 +1,143 @@
+package tuple
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/carry"
+	"github.com/cyclamendock/cyclamendock/lib/clock"
+	"github.com/cyclamendock/cyclamendock/lib/link"
+	"github.com/cyclamendock/cyclamendock/lib/logs"
+	"github.com/cyclamendock/cyclamendock/lib/member"
+	"github.com/cyclamendock/cyclamendock/lib/peer"
+	"github.com/cyclamendock/cyclamendock/lib/store"
+	"github.com/cyclamendock/cyclamendock/lib/trust"
+)
+
+const (
+	frontBatch      = 32 // datagrams
+	peerBatch       = 32 // datagrams
+	timerBatch      = 8  // datagrams
+	timerResolution = 10 * time.Millisecond
+	// packetLines is how many lines about packets are logged each second.
+	packetLines = 20
+)
+
+// A Config holds what a Node needs.
+type Config struct {
+	Address      netip.AddrPort // for messages and calls between processes
+	CallerPort   uint16         // to which packets for callers are sent
+	Codec        carry.Codec
+	ConfigKey    string // of the configuration in the store
+	FlowLifetime time.Duration
+	Front        netip.AddrPort // for callers' packets
+	Log          *logs.Logger
+	LostAfter    time.Duration // see carry.DirectorConfig
+	First        bool          // no process has run before
+	Routes       func(value []byte) (carry.Routes, error)
+	Seeds        []netip.AddrPort // processes that may know the members
+	Store        store.Store
+	Trust        *trust.List
+	Zone         string
+}
+
+// A Node is one balancer process.
+type Node struct {
+	config    Config
+	calls     *peer.Client
+	clock     *clock.Service
+	ctx       context.Context
+	director  *carry.Director
+	directory *member.Directory
+	drops     *logs.Limiter
+	front     *link.Socket
+	leaving   atomic.Bool
+	mu        sync.Mutex // guards director, peers, pulling and raw
+	peers     *peers
+	pulling   bool
+	raw       []byte // the configuration as it lies in the store
+	resets    *logs.Limiter
+	server    *peer.Server
+	socket    *link.Socket
+	stop      context.CancelFunc
+	wakeList  chan struct{}
+}
+
+// New opens the sockets of a balancer, or returns an Unavailable fault when an address is taken.
+func New(config Config) (*Node, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	n := &Node{
+		config: config,
+		calls:  peer.NewClient(),
+		clock:  clock.NewService(timerResolution),
+		ctx:    ctx,
+		director: carry.NewDirector(carry.DirectorConfig{
+			FlowLifetime: config.FlowLifetime,
+			HoldLimit:    holdLimit,
+			LostAfter:    config.LostAfter,
+			Self:         carry.EndpointOf(config.Address),
+			Zone:         carry.ServiceIDOf(config.Zone),
+		}),
+		directory: member.NewDirectory(config.Store, member.Member{Address: config.Address, Role: member.RoleBalancer}),
+		drops:     logs.NewLimiter(packetLines),
+		peers:     newPeers(config.Address, config.Seeds),
+		resets:    logs.NewLimiter(packetLines),
+		stop:      stop,
+		wakeList:  make(chan struct{}, 1),
+	}
+	return n, n.open()
+}
+
+func (n *Node) open() error {
+	var err error
+	if n.front, err = link.Listen(n.config.Front); err != nil {
+		return err
+	}
+	if n.socket, err = link.Listen(n.config.Address); err != nil {
+		return err
+	}
+	n.server, err = peer.NewServer(peer.ServerConfig{
+		Address:  n.config.Address,
+		Services: map[string]any{"Tuple": &Calls{node: n}},
+		Trust:    n.config.Trust,
+	})
+	return err
+}
+
+// Run serves until the context ends, then lets the routers turn away first.
+func (n *Node) Run(ctx context.Context) {
+	n.server.Start()
+	n.clock.Start()
+	go n.runFront()
+	go n.runPeers()
+	go n.runTimers()
+	go n.runConfig()
+	go n.runMembers()
+	n.config.Log.Info("Started.", logs.Fields{"address": n.config.Address.String()})
+	<-ctx.Done()
+	n.leave()
+}
+
+// Ready reports whether this balancer can place flows and stays.
+func (n *Node) Ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.leaving.Load() && n.director.Ready()
+}
+
+// leave is not ready any more, and ends once the routers have noticed.
+func (n *Node) leave() {
+	n.leaving.Store(true)
+	n.config.Log.Info("Stopping.", nil)
+	time.Sleep(leaveLinger)
+	n.stop()
+	n.front.Close()
+	n.socket.Close()
+	n.server.Close()
+	n.calls.Close()
+	n.clock.Stop()
+	n.config.Log.Info("Stopped.", nil)
+}
--- /dev/null
+++ b/balancer/tuple/peers.go
@@ -0,0 +1,67 @@
+package tuple
+
+import (
+	"hash/maphash"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cyclamendock/cyclamendock/lib/carry"
+)
+
+const (
+	// digestInterval is how often a balancer compares what it knows with some others.
+	digestInterval = time.Second
+	// digestFanout is how many balancers it compares with each time.
+	digestFanout = 3
+)
+
+// peers are the other balancers that a balancer knows.
+type peers struct {
+	list []netip.AddrPort // in order
+	self netip.AddrPort
+	turn uint64
+}
+
+func newPeers(self netip.AddrPort, seeds []netip.AddrPort) *peers {
+	p := &peers{self: self, turn: new(maphash.Hash).Sum64()}
+	for _, seed := range seeds {
+		p.add(seed)
+	}
+	return p
+}
+
+// add makes a balancer known and reports whether it was new.
+func (p *peers) add(address netip.AddrPort) bool {
+	if address == p.self {
+		return false
+	}
+	at, found := slices.BinarySearchFunc(p.list, address, netip.AddrPort.Compare)
+	if found {
+		return false
+	}
+	p.list = slices.Insert(p.list, at, address)
+	return true
+}
+
+// next returns the balancers whose turn it is to be compared with.
+func (p *peers) next() []netip.AddrPort {
+	count := min(digestFanout, len(p.list))
+	chosen := make([]netip.AddrPort, 0, count)
+	for range count {
+		p.turn++
+		chosen = append(chosen, p.list[p.turn%uint64(len(p.list))])
+	}
+	return chosen
+}
+
+// digest summarises the known configuration and members.
+func (n *Node) digest(reply bool) carry.Digest {
+	hash := xxhash.New()
+	for _, agent := range n.director.Agents.Addresses() {
+		_, _ = hash.WriteString(agent.String())
+	}
+	return carry.Digest{Members: hash.Sum64(), Reply: reply, Version: n.director.Version()}
+}
--- /dev/null
+++ b/balancer/tuple/sync.go
@@ -0,0 +1,135 @@
+package tuple
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/carry"
+	"github.com/cyclamendock/cyclamendock/lib/logs"
+)
+
+const (
+	methodKnown = "Tuple.Known"
+	pullTimeout = time.Second
+)
+
+// Calls are the calls that other balancers make.
+type Calls struct {
+	node *Node
+}
+
+// Known is what a balancer tells another one.
+type Known struct {
+	Agents    []string
+	Balancers []string
+	Config    []byte // empty when the caller has this version or a newer one
+}
+
+// Ask says what the calling balancer has.
+type Ask struct {
+	Version uint64
+}
+
+// Known returns what this balancer knows.
+func (c *Calls) Known(ask Ask, known *Known) error {
+	n := c.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if ask.Version < n.director.Version() {
+		known.Config = n.raw
+	}
+	for _, agent := range n.director.Agents.Addresses() {
+		known.Agents = append(known.Agents, agent.String())
+	}
+	for _, balancer := range n.peers.list {
+		known.Balancers = append(known.Balancers, balancer.String())
+	}
+	return nil
+}
+
+func (n *Node) handleDigest(_ time.Time, message []byte, from netip.AddrPort) bool {
+	var theirs carry.Digest
+	if !theirs.Decode(message) {
+		return false
+	}
+	n.mu.Lock()
+	n.peers.add(from)
+	ours := n.digest(true)
+	n.mu.Unlock()
+	behind := theirs.Version > ours.Version || theirs.Members != ours.Members
+	if behind {
+		go n.runPull(from)
+	}
+	ahead := ours.Version > theirs.Version || theirs.Members != ours.Members
+	if ahead && !theirs.Reply {
+		n.socket.Send(ours.Append(nil), from)
+	}
+	return true
+}
+
+// runPull learns what another balancer knows; only one pull runs at a time.
+func (n *Node) runPull(from netip.AddrPort) {
+	n.mu.Lock()
+	if n.pulling {
+		n.mu.Unlock()
+		return
+	}
+	n.pulling = true
+	ask := Ask{Version: n.director.Version()}
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(n.ctx, pullTimeout)
+	defer cancel()
+	var known Known
+	err := n.calls.Call(ctx, from, methodKnown, ask, &known)
+	n.mu.Lock()
+	n.pulling = false
+	n.mu.Unlock()
+	if err != nil {
+		n.config.Log.Warn("A balancer can't be asked.", logs.Fields{"balancer": from.String(), "error": err.Error()})
+		return
+	}
+	n.learn(known)
+}
+
+func (n *Node) learn(known Known) {
+	if len(known.Config) > 0 {
+		n.takeConfig(known.Config, "balancer")
+	}
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, agent := range parse(known.Agents) {
+		n.director.Agents.Add(now, carry.EndpointOf(agent))
+	}
+	for _, balancer := range parse(known.Balancers) {
+		n.peers.add(balancer)
+	}
+}
+
+func parse(texts []string) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, text := range texts {
+		if address, err := netip.ParseAddrPort(text); err == nil && address.Addr().Is4() {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// sendDigests compares this balancer with the given ones.
+func (n *Node) sendDigests(to []netip.AddrPort) {
+	n.mu.Lock()
+	message := n.digest(false).Append(nil)
+	n.mu.Unlock()
+	for _, balancer := range to {
+		n.socket.Send(message, balancer)
+	}
+}
+
+// allPeers returns every known balancer.
+func (n *Node) allPeers() []netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]netip.AddrPort(nil), n.peers.list...)
+}
--- /dev/null
+++ b/lib/carry/agents.go
@@ -0,0 +1,234 @@
+package carry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// helloFirst is the first pause between greetings of an agent that has not answered.
+	helloFirst = 50 * time.Millisecond
+	// helloLast is the longest pause between greetings.
+	helloLast = 2 * time.Second
+	// staleAfter is how long an agent of a service in use may be unheard before it is greeted.
+	staleAfter = time.Second
+	// usedFor is how long a service counts as in use after a packet for it.
+	usedFor = 10 * time.Second
+	// suspectAfter is how long an agent that was sent something may be silent.
+	suspectAfter = 250 * time.Millisecond
+	// smoothing is the weight of a new report in an agent's mean of busy requests.
+	smoothing = 0.1
+)
+
+// An agent is what a balancer knows of one agent.
+type agent struct {
+	address  Endpoint
+	assigned int // new flows sent to it since its last report
+	greeted  time.Time
+	heard    time.Time // last report; zero when never
+	mean     float64   // smoothed busy requests
+	pause    time.Duration
+	report   Report
+	since    time.Time // when it began to be silent: known, or first sent something after its last report
+	waits    bool      // an answer is due
+}
+
+// Agents are what a balancer knows of the agents.
+type Agents struct {
+	byAddress map[Endpoint]*agent
+	byService map[ServiceID][]*agent
+	lostAfter time.Duration
+	used      map[ServiceID]time.Time // last packet for each service
+}
+
+// NewAgents returns an empty set; an agent silent for lostAfter holds no flow any more that a caller waits for.
+func NewAgents(lostAfter time.Duration) *Agents {
+	return &Agents{
+		byAddress: map[Endpoint]*agent{},
+		byService: map[ServiceID][]*agent{},
+		lostAfter: lostAfter,
+		used:      map[ServiceID]time.Time{},
+	}
+}
+
+// Add makes an address known and reports whether it was new.
+func (a *Agents) Add(now time.Time, address Endpoint) bool {
+	if a.byAddress[address] != nil {
+		return false
+	}
+	a.byAddress[address] = &agent{address: address, pause: helloFirst, since: now, waits: true}
+	return true
+}
+
+// Remove forgets an address.
+func (a *Agents) Remove(address Endpoint) {
+	known := a.byAddress[address]
+	if known == nil {
+		return
+	}
+	delete(a.byAddress, address)
+	a.leave(known)
+}
+
+// Report takes an agent's report and reports whether its state has changed.
+func (a *Agents) Report(now time.Time, address Endpoint, report Report) bool {
+	if report.State == StateLeft {
+		left := a.byAddress[address] != nil
+		a.Remove(address)
+		return left
+	}
+	a.Add(now, address)
+	known := a.byAddress[address]
+	first := known.heard.IsZero()
+	changed := first || known.report.State != report.State || known.report.Service != report.Service
+	if first || known.report.Service != report.Service {
+		a.leave(known)
+		a.byService[report.Service] = append(a.byService[report.Service], known)
+	}
+	if first {
+		known.mean = float64(report.Busy)
+	}
+	known.mean += (float64(report.Busy) - known.mean) * smoothing
+	known.assigned = 0
+	known.heard = now
+	known.pause = helloFirst
+	known.report = report
+	known.waits = false
+	return changed
+}
+
+// Sent records that an agent was sent something that makes it report.
+func (a *Agents) Sent(now time.Time, address Endpoint, opens bool) {
+	known := a.byAddress[address]
+	if known == nil {
+		return
+	}
+	if opens {
+		known.assigned++
+	}
+	if !known.waits {
+		known.waits = true
+		known.since = now
+	}
+}
+
+// Greet returns the agents that should be sent a hello now.
+func (a *Agents) Greet(now time.Time) []Endpoint {
+	var due []Endpoint
+	for address, known := range a.byAddress {
+		if !a.quiet(now, known) || now.Sub(known.greeted) < known.pause {
+			continue
+		}
+		known.greeted = now
+		known.pause = min(known.pause*2, helloLast)
+		due = append(due, address)
+	}
+	slices.SortFunc(due, Endpoint.Compare)
+	return due
+}
+
+// quiet reports whether an agent should be asked for a report.
+func (a *Agents) quiet(now time.Time, known *agent) bool {
+	if known.suspect(now) {
+		return true
+	}
+	unheard := now.Sub(known.heard)
+	if known.report.State != StateReady && unheard > helloLast {
+		return true
+	}
+	return unheard > staleAfter && now.Sub(a.used[known.report.Service]) < usedFor
+}
+
+// Known reports whether the address is that of an agent.
+func (a *Agents) Known(address Endpoint) bool { return a.byAddress[address] != nil }
+
+// Suspect reports whether an agent has not answered for a while.
+func (a *Agents) Suspect(now time.Time, address Endpoint) bool {
+	known := a.byAddress[address]
+	return known == nil || known.suspect(now)
+}
+
+// Lost reports whether an agent has been silent for so long that no caller waits for its flows.
+func (a *Agents) Lost(now time.Time, address Endpoint) bool {
+	known := a.byAddress[address]
+	return known == nil || known.waits && now.Sub(known.since) > a.lostAfter
+}
+
+// State returns the last reported state of an agent.
+func (a *Agents) State(address Endpoint) State {
+	known := a.byAddress[address]
+	if known == nil {
+		return StateUnknown
+	}
+	return known.report.State
+}
+
+// Addresses returns all known addresses in order.
+func (a *Agents) Addresses() []Endpoint {
+	all := make([]Endpoint, 0, len(a.byAddress))
+	for address := range a.byAddress {
+		all = append(all, address)
+	}
+	slices.SortFunc(all, Endpoint.Compare)
+	return all
+}
+
+// Heard returns how many agents have ever reported.
+func (a *Agents) Heard() int {
+	count := 0
+	for _, known := range a.byAddress {
+		if !known.heard.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
+// Unheard returns the agents that have not reported yet and are not lost, which may be of any service.
+func (a *Agents) Unheard(now time.Time) []Endpoint {
+	var unheard []Endpoint
+	for address, known := range a.byAddress {
+		if known.heard.IsZero() && now.Sub(known.since) <= a.lostAfter {
+			unheard = append(unheard, address)
+		}
+	}
+	slices.SortFunc(unheard, Endpoint.Compare)
+	return unheard
+}
+
+// ranked returns the agents of a service in the order of a flow's rendezvous hash.
+func (a *Agents) ranked(service ServiceID, flow Flow) []*agent {
+	hash := flow.Hash()
+	type scored struct {
+		agent *agent
+		score uint64
+	}
+	members := a.byService[service]
+	scores := make([]scored, len(members))
+	for i, member := range members {
+		scores[i] = scored{agent: member, score: mix(hash, member.address.key())}
+	}
+	slices.SortFunc(scores, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
+	order := make([]*agent, len(scores))
+	for i, s := range scores {
+		order[i] = s.agent
+	}
+	return order
+}
+
+func (a *Agents) leave(known *agent) {
+	members := a.byService[known.report.Service]
+	a.byService[known.report.Service] = slices.DeleteFunc(members, func(other *agent) bool { return other == known })
+}
+
+func (g *agent) suspect(now time.Time) bool {
+	return g.heard.IsZero() || g.waits && now.Sub(g.since) > suspectAfter
+}
+
+// stale reports whether what is known of an agent is old.
+func (g *agent) stale(now time.Time) bool { return now.Sub(g.heard) > 3*staleAfter/2 }
+
+func (g *agent) eligible(now time.Time) bool {
+	return g.report.State == StateReady && !g.suspect(now)
+}
--- /dev/null
+++ b/lib/carry/director.go
@@ -0,0 +1,453 @@
+package carry
+
+import (
+	"slices"
+	"time"
+)
+
+// A Reason tells why a packet was dropped, held or answered with a reset.
+type Reason string
+
+const (
+	// ReasonAsked means that the agents that may hold the flow have been asked.
+	ReasonAsked Reason = "asked"
+	// ReasonHeld means that no agent takes new flows now and that one may soon.
+	ReasonHeld Reason = "held"
+	// ReasonNoAgent means that no agent takes new flows.
+	ReasonNoAgent Reason = "noAgent"
+	// ReasonNoConfig means that this balancer has no configuration yet.
+	ReasonNoConfig Reason = "noConfig"
+	// ReasonNoRoute means that the configuration has no route for the address.
+	ReasonNoRoute Reason = "noRoute"
+	// ReasonOwnerEnded means that the backend server that held the flow has ended.
+	ReasonOwnerEnded Reason = "ownerEnded"
+	// ReasonProving means that the end of the flow awaits a fresh list of members.
+	ReasonProving Reason = "proving"
+	// ReasonRouteRemoved means that a newer configuration has dropped the flow's route.
+	ReasonRouteRemoved Reason = "routeRemoved"
+	// ReasonSaturated means that every agent is too busy to serve the flow in time.
+	ReasonSaturated Reason = "saturated"
+)
+
+// An Action tells a balancer what to do with a packet.
+type Action int
+
+const (
+	// ActDrop does nothing.
+	ActDrop Action = iota
+	// ActForward sends the message to each of the agents.
+	ActForward
+	// ActProve does nothing until the store's list of members has been read.
+	ActProve
+	// ActReset resets the flow.
+	ActReset
+)
+
+// A Verdict is the decision about one packet.
+type Verdict struct {
+	Action  Action
+	Flow    Flow
+	Forward Forward
+	Reason  Reason
+	Seq     uint32 // of the reset
+	To      []Endpoint
+}
+
+const (
+	hintCapacity   = 1 << 16 // flows
+	searchCapacity = 1 << 12 // flows
+	// searchMemory is how long the answers to a search are kept.
+	searchMemory = 5 * time.Second
+	// roundLimit is how long a round of a search may go unanswered before all agents are asked at once.
+	roundLimit   = 150 * time.Millisecond
+	waitCapacity = 512 // new flows
+	// removedMemory is how many removed routes are remembered.
+	removedMemory = 4096
+)
+
+// A DirectorConfig holds what a Director needs.
+type DirectorConfig struct {
+	FlowLifetime time.Duration // of an idle flow
+	HoldLimit    time.Duration // that a new flow waits for an agent to take it
+	LostAfter    time.Duration // of silence, after which an agent's flows have ended for their callers
+	Self         Endpoint      // for messages between processes
+	Zone         ServiceID
+}
+
+// A search is what is known of a flow whose owner is not.
+type search struct {
+	began  time.Time  // of the last round
+	fanned bool       // the last round asked all agents at once
+	no     []Endpoint // agents that do not hold the flow
+}
+
+type proof struct {
+	seq   uint32
+	since time.Time
+}
+
+type waiting struct {
+	datagram []byte
+	packet   Packet
+	since    time.Time
+}
+
+// A Director decides for one balancer where callers' packets go.
+type Director struct {
+	Agents *Agents
+
+	config   DirectorConfig
+	hints    *Cache[Flow, Endpoint]
+	proofs   map[Flow]proof
+	removed  *Cache[Endpoint, struct{}]
+	routes   Routes
+	searches *Cache[Flow, *search]
+	served   map[Endpoint][]ServiceID // services that each address has ever had
+	waits    map[Flow]waiting
+}
+
+// NewDirector returns a director without configuration and agents.
+func NewDirector(config DirectorConfig) *Director {
+	return &Director{
+		Agents:   NewAgents(config.LostAfter),
+		config:   config,
+		hints:    NewCache[Flow, Endpoint](hintCapacity, config.FlowLifetime),
+		proofs:   map[Flow]proof{},
+		removed:  NewCache[Endpoint, struct{}](removedMemory, config.FlowLifetime),
+		searches: NewCache[Flow, *search](searchCapacity, searchMemory),
+		served:   map[Endpoint][]ServiceID{},
+		waits:    map[Flow]waiting{},
+	}
+}
+
+// Version returns the version of the configuration in force.
+func (d *Director) Version() uint64 { return d.routes.Version }
+
+// SetRoutes takes a newer configuration and reports whether it was one.
+func (d *Director) SetRoutes(now time.Time, routes Routes) bool {
+	if routes.Version <= d.routes.Version {
+		return false
+	}
+	for address := range d.routes.ByAddress {
+		if _, kept := routes.ByAddress[address]; !kept {
+			d.removed.Put(now, address, struct{}{})
+		}
+	}
+	for address, route := range routes.ByAddress {
+		d.removed.Delete(address)
+		for _, share := range route.Shares {
+			if !slices.Contains(d.served[address], share.Service) {
+				d.served[address] = append(d.served[address], share.Service)
+			}
+		}
+	}
+	d.routes = routes
+	return true
+}
+
+// Ready reports whether this balancer can place flows.
+func (d *Director) Ready() bool { return d.routes.Version > 0 && d.Agents.Heard() > 0 }
+
+// Packet decides about a packet of a caller; datagram is copied when it has to wait.
+func (d *Director) Packet(now time.Time, p Packet, datagram []byte) Verdict {
+	flow := p.FromCaller()
+	if d.routes.Version == 0 {
+		return Verdict{Flow: flow, Reason: ReasonNoConfig}
+	}
+	route, ok := d.routes.ByAddress[flow.Service]
+	if !ok {
+		return d.unrouted(now, p)
+	}
+	if p.Opens() {
+		return d.open(now, route, p, datagram)
+	}
+	if owner, ok := d.hints.Get(now, flow); ok && !d.Agents.Lost(now, owner) {
+		return d.forward(now, route, p, route.Service(flow), []Endpoint{owner}, nil)
+	}
+	return d.search(now, route, p)
+}
+
+// Returned decides about a packet that every agent on its list has refused.
+func (d *Director) Returned(now time.Time, f *Forward, p Packet) Verdict {
+	flow := p.FromCaller()
+	route, ok := d.routes.ByAddress[flow.Service]
+	if !ok {
+		return d.unrouted(now, p)
+	}
+	if owner, ok := d.hints.Get(now, flow); ok && slices.Contains(f.Asked, owner) {
+		d.hints.Delete(flow)
+	}
+	if p.Opens() {
+		return d.openElsewhere(now, route, p, f)
+	}
+	known := d.searchOf(now, flow)
+	for _, agent := range f.Asked {
+		if !slices.Contains(known.no, agent) {
+			known.no = append(known.no, agent)
+		}
+	}
+	if known.fanned && now.Sub(known.began) < roundLimit && d.mayBeHeld(now, flow, known.no) {
+		return Verdict{Flow: flow, Reason: ReasonAsked}
+	}
+	return d.ask(now, route, p, known)
+}
+
+func (d *Director) searchOf(now time.Time, flow Flow) *search {
+	known, ok := d.searches.Get(now, flow)
+	if !ok {
+		known = &search{}
+		d.searches.Put(now, flow, known)
+	}
+	return known
+}
+
+// Owner records which agent holds a flow.
+func (d *Director) Owner(now time.Time, flow Flow, owner Endpoint) {
+	d.hints.Put(now, flow, owner)
+	d.searches.Delete(flow)
+	delete(d.proofs, flow)
+}
+
+// Listed takes a list of members that was read from the store after asked, and ends the flows that are proved
+// to have ended: no agent on it, nor any other that is known, holds them.
+func (d *Director) Listed(now, asked time.Time) []Verdict {
+	var verdicts []Verdict
+	for flow, proof := range d.proofs {
+		if proof.since.After(asked) {
+			continue
+		}
+		delete(d.proofs, flow)
+		known, ok := d.searches.Get(now, flow)
+		if !ok {
+			continue
+		}
+		if d.mayBeHeld(now, flow, known.no) {
+			continue
+		}
+		verdicts = append(verdicts, Verdict{Action: ActReset, Flow: flow, Reason: ReasonOwnerEnded, Seq: proof.seq})
+	}
+	slices.SortFunc(verdicts, func(a, b Verdict) int { return a.Flow.Compare(b.Flow) })
+	return verdicts
+}
+
+// mayBeHeld reports whether an agent that has not said no may hold a flow.
+func (d *Director) mayBeHeld(now time.Time, flow Flow, no []Endpoint) bool {
+	route, ok := d.routes.ByAddress[flow.Service]
+	if !ok {
+		return true
+	}
+	for _, service := range d.servicesOf(flow.Service, route.Service(flow)) {
+		answering, silent := d.Agents.holders(now, service, flow, no)
+		if len(answering)+len(silent) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// servicesOf returns the services to which an address has ever sent flows, the given one first.
+func (d *Director) servicesOf(address Endpoint, first ServiceID) []ServiceID {
+	services := []ServiceID{first}
+	for _, service := range d.served[address] {
+		if service != first {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
+// Proving reports whether flows wait for a list of members.
+func (d *Director) Proving() bool { return len(d.proofs) > 0 }
+
+// Tick returns the decisions about waiting flows that an agent takes now, or that have waited too long.
+func (d *Director) Tick(now time.Time) []Verdict {
+	var verdicts []Verdict
+	for flow, wait := range d.waits {
+		route, ok := d.routes.ByAddress[flow.Service]
+		if !ok {
+			delete(d.waits, flow)
+			continue
+		}
+		verdict := d.place(now, route, wait.packet, nil)
+		switch {
+		case verdict.Action == ActForward:
+			verdict.Forward.Datagram = wait.datagram
+		case now.Sub(wait.since) < d.config.HoldLimit:
+			continue
+		default:
+			verdict = reset(wait.packet, ReasonNoAgent)
+		}
+		delete(d.waits, flow)
+		verdicts = append(verdicts, verdict)
+	}
+	return verdicts
+}
+
+// Sweep forgets what has expired.
+func (d *Director) Sweep(now time.Time) {
+	d.hints.Sweep(now)
+	d.removed.Sweep(now)
+	d.searches.Sweep(now)
+	for flow, proof := range d.proofs {
+		if now.Sub(proof.since) > searchMemory {
+			delete(d.proofs, flow)
+		}
+	}
+}
+
+// unrouted decides about a packet to an address without a route. An address that this balancer has never
+// known may be one of a configuration that has not reached it, so that only removed routes end flows.
+func (d *Director) unrouted(now time.Time, p Packet) Verdict {
+	if _, gone := d.removed.Get(now, p.Destination); gone {
+		return reset(p, ReasonRouteRemoved)
+	}
+	if p.Opens() {
+		return reset(p, ReasonNoRoute)
+	}
+	return Verdict{Flow: p.FromCaller(), Reason: ReasonNoRoute}
+}
+
+// open decides where a new flow goes; a repeated request goes where the first went while that agent answers.
+func (d *Director) open(now time.Time, route Route, p Packet, datagram []byte) Verdict {
+	flow := p.FromCaller()
+	if _, held := d.waits[flow]; held {
+		return Verdict{Flow: flow, Reason: ReasonHeld}
+	}
+	if owner, ok := d.hints.Get(now, flow); ok && !d.Agents.Suspect(now, owner) && d.Agents.State(owner) == StateReady {
+		return d.forward(now, route, p, route.Service(flow), []Endpoint{owner}, nil)
+	}
+	verdict := d.place(now, route, p, nil)
+	if verdict.Action == ActForward {
+		return verdict
+	}
+	return d.hold(now, p, datagram)
+}
+
+// place offers a new flow to the best candidates.
+func (d *Director) place(now time.Time, route Route, p Packet, skip []Endpoint) Verdict {
+	flow := p.FromCaller()
+	service := route.Service(flow)
+	list := d.Agents.candidates(now, service, flow, d.config.Zone, skip)
+	if len(list) == 0 {
+		return Verdict{Flow: flow, Reason: ReasonNoAgent}
+	}
+	d.hints.Put(now, flow, list[0])
+	return d.forward(now, route, p, service, list[:1], list[1:])
+}
+
+// openElsewhere decides about a new flow that every candidate so far has refused.
+func (d *Director) openElsewhere(now time.Time, route Route, p Packet, f *Forward) Verdict {
+	if f.Urgent {
+		return reset(p, ReasonSaturated)
+	}
+	verdict := d.place(now, route, p, f.Asked)
+	if verdict.Action == ActForward {
+		verdict.Forward.Asked = f.Asked
+		verdict.Forward.Full = f.Full
+		return verdict
+	}
+	if !f.Full {
+		return d.hold(now, p, f.Datagram)
+	}
+	flow := p.FromCaller()
+	service := route.Service(flow)
+	least, ok := d.Agents.leastLoaded(now, service)
+	if !ok {
+		return reset(p, ReasonSaturated)
+	}
+	d.hints.Put(now, flow, least)
+	verdict = d.forward(now, route, p, service, []Endpoint{least}, nil)
+	verdict.Forward.Urgent = true
+	return verdict
+}
+
+// hold keeps a new flow until an agent takes it.
+func (d *Director) hold(now time.Time, p Packet, datagram []byte) Verdict {
+	flow := p.FromCaller()
+	if len(d.waits) >= waitCapacity {
+		return reset(p, ReasonNoAgent)
+	}
+	d.waits[flow] = waiting{datagram: slices.Clone(datagram), packet: p, since: now}
+	return Verdict{Flow: flow, Reason: ReasonHeld}
+}
+
+// search looks for the agent that holds the flow of a packet. When an earlier round has gone unanswered, an agent
+// on its list has swallowed the packet, and all that may hold the flow are asked at once.
+func (d *Director) search(now time.Time, route Route, p Packet) Verdict {
+	known := d.searchOf(now, p.FromCaller())
+	unanswered := !known.began.IsZero() && now.Sub(known.began) > roundLimit
+	if !unanswered {
+		return d.ask(now, route, p, known)
+	}
+	flow := p.FromCaller()
+	var all []Endpoint
+	for _, service := range d.servicesOf(flow.Service, route.Service(flow)) {
+		answering, silent := d.Agents.holders(now, service, flow, known.no)
+		all = append(append(all, answering...), silent...)
+	}
+	if len(all) == 0 {
+		return d.prove(now, p, known)
+	}
+	slices.SortFunc(all, Endpoint.Compare)
+	all = slices.Compact(all)
+	known.began, known.fanned = now, true
+	return d.forward(now, route, p, route.Service(flow), all[:min(len(all), maxListed)], nil)
+}
+
+// ask offers a packet to the agents that may hold its flow, one after the other. Those that are silent are asked
+// only once all others have said no, since they would swallow the packet.
+func (d *Director) ask(now time.Time, route Route, p Packet, known *search) Verdict {
+	flow := p.FromCaller()
+	service := route.Service(flow)
+	silentOf, silent := service, []Endpoint(nil)
+	for _, service := range d.servicesOf(flow.Service, service) {
+		answering, quiet := d.Agents.holders(now, service, flow, known.no)
+		if len(answering) > 0 {
+			known.began, known.fanned = now, false
+			list := answering[:min(len(answering), maxListed)]
+			return d.forward(now, route, p, service, list[:1], list[1:])
+		}
+		if len(silent) == 0 && len(quiet) > 0 {
+			silentOf, silent = service, quiet
+		}
+	}
+	if len(silent) > 0 {
+		known.began, known.fanned = now, true
+		return d.forward(now, route, p, silentOf, silent[:min(len(silent), maxListed)], nil)
+	}
+	return d.prove(now, p, known)
+}
+
+// prove asks for a fresh list of members before a flow that no known agent holds is ended.
+func (d *Director) prove(now time.Time, p Packet, known *search) Verdict {
+	flow := p.FromCaller()
+	if len(known.no) == 0 || p.Flags.Has(FlagReset) {
+		return Verdict{Flow: flow, Reason: ReasonNoAgent}
+	}
+	if _, asked := d.proofs[flow]; !asked && len(d.proofs) < searchCapacity {
+		d.proofs[flow] = proof{seq: p.Ack, since: now}
+	}
+	return Verdict{Action: ActProve, Flow: flow, Reason: ReasonProving}
+}
+
+func (d *Director) forward(now time.Time, route Route, p Packet, service ServiceID, to, next []Endpoint) Verdict {
+	for _, agent := range to {
+		d.Agents.Sent(now, agent, p.Opens())
+	}
+	return Verdict{
+		Action: ActForward,
+		Flow:   p.FromCaller(),
+		Forward: Forward{
+			Aim:     route.Aim,
+			Next:    next,
+			Origin:  d.config.Self,
+			Service: service,
+			Timeout: route.Timeout,
+		},
+		To: to,
+	}
+}
+
+func reset(p Packet, reason Reason) Verdict {
+	return Verdict{Action: ActReset, Flow: p.FromCaller(), Reason: reason, Seq: p.Ack}
+}
--- /dev/null
+++ b/lib/carry/flow.go
@@ -0,0 +1,79 @@
+package carry
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// An Endpoint is an IPv4 address and a port.
+type Endpoint struct {
+	IP   [4]byte
+	Port uint16
+}
+
+// EndpointOf returns the endpoint of an IPv4 address, or the zero endpoint for any other address.
+func EndpointOf(address netip.AddrPort) Endpoint {
+	ip := address.Addr().Unmap()
+	if !ip.Is4() {
+		return Endpoint{}
+	}
+	return Endpoint{IP: ip.As4(), Port: address.Port()}
+}
+
+// AddrPort returns the endpoint as the standard library has it.
+func (e Endpoint) AddrPort() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(e.IP), e.Port)
+}
+
+// Known reports whether the endpoint is not zero.
+func (e Endpoint) Known() bool { return e != Endpoint{} }
+
+// String returns address:port.
+func (e Endpoint) String() string { return e.AddrPort().String() }
+
+// Compare orders endpoints by address and port.
+func (e Endpoint) Compare(other Endpoint) int { return e.AddrPort().Compare(other.AddrPort()) }
+
+func (e Endpoint) key() uint64 {
+	return uint64(binary.BigEndian.Uint32(e.IP[:]))<<16 | uint64(e.Port)
+}
+
+// A Flow is one connection of a caller to a service address.
+type Flow struct {
+	Caller  Endpoint
+	Service Endpoint
+}
+
+// Hash returns a hash that every process agrees on.
+func (f Flow) Hash() uint64 {
+	var b [12]byte
+	copy(b[:], f.Caller.IP[:])
+	binary.BigEndian.PutUint16(b[4:], f.Caller.Port)
+	copy(b[6:], f.Service.IP[:])
+	binary.BigEndian.PutUint16(b[10:], f.Service.Port)
+	return xxhash.Sum64(b[:])
+}
+
+// Compare orders flows by caller and service.
+func (f Flow) Compare(other Flow) int {
+	if order := f.Caller.Compare(other.Caller); order != 0 {
+		return order
+	}
+	return f.Service.Compare(other.Service)
+}
+
+// A ServiceID names a service in messages between processes.
+type ServiceID uint64
+
+// ServiceIDOf returns the ID of a service's name.
+func ServiceIDOf(name string) ServiceID { return ServiceID(xxhash.Sum64String(name)) }
+
+// mix combines two hashes into one that is spread evenly.
+func mix(a, b uint64) uint64 {
+	var buffer [16]byte
+	binary.BigEndian.PutUint64(buffer[:], a)
+	binary.BigEndian.PutUint64(buffer[8:], b)
+	return xxhash.Sum64(buffer[:])
+}
--- a/lib/flaky/store.go
+++ b/lib/flaky/store.go
@@ -33,6 +33,19 @@
 	return &Store{before: map[string]store.Object{}, choose: choose, inner: inner}
 }
 
+// Delete removes an object, or returns an Unavailable fault, perhaps after it has removed it.
+func (s *Store) Delete(ctx context.Context, key string) error {
+	fate := s.choose("delete")
+	if fate == Down {
+		return unavailable()
+	}
+	err := s.inner.Delete(ctx, key)
+	if fate == Lost {
+		return unavailable()
+	}
+	return err
+}
+
 // Get returns an object, the version before it, or an Unavailable fault.
 func (s *Store) Get(ctx context.Context, key string) (store.Object, error) {
 	fate := s.choose("get")
--- a/lib/link/socket.go
+++ b/lib/link/socket.go
@@ -61,8 +61,11 @@
 }
 
 // NewReader returns a reader, of which each goroutine needs its own.
-func NewReader(socket *Socket) *Reader {
-	r := &Reader{messages: make([]ipv4.Message, BatchSize), socket: socket}
+func NewReader(socket *Socket) *Reader { return NewReaderSize(socket, BatchSize) }
+
+// NewReaderSize returns a reader of up to batch datagrams at once.
+func NewReaderSize(socket *Socket, batch int) *Reader {
+	r := &Reader{messages: make([]ipv4.Message, batch), socket: socket}
 	for i := range r.messages {
 		r.messages[i].Buffers = [][]byte{make([]byte, MaxDatagram)}
 	}
@@ -98,11 +101,14 @@
 }
 
 // NewWriter returns a writer, of which each goroutine needs its own.
-func NewWriter(socket *Socket) *Writer {
+func NewWriter(socket *Socket) *Writer { return NewWriterSize(socket, BatchSize) }
+
+// NewWriterSize returns a writer that queues up to batch datagrams.
+func NewWriterSize(socket *Socket, batch int) *Writer {
 	w := &Writer{
-		addresses: make([]net.UDPAddr, BatchSize),
-		ips:       make([][4]byte, BatchSize),
-		messages:  make([]ipv4.Message, BatchSize),
+		addresses: make([]net.UDPAddr, batch),
+		ips:       make([][4]byte, batch),
+		messages:  make([]ipv4.Message, batch),
 		socket:    socket,
 	}
 	for i := range w.messages {
--- a/lib/logs/logger.go
+++ b/lib/logs/logger.go
@@ -42,6 +42,11 @@
 	return &Logger{entry: l.entry, prefix: part + ": "}
 }
 
+// With returns a logger whose lines also carry the given fields.
+func (l *Logger) With(fields Fields) *Logger {
+	return &Logger{entry: l.entry.WithFields(log.Fields(fields)), prefix: l.prefix}
+}
+
 // Debug logs what helps only while looking for a fault.
 func (l *Logger) Debug(text string, fields Fields) { l.with(fields).Debug(l.prefix + text) }
 
--- a/lib/store/client.go
+++ b/lib/store/client.go
@@ -39,6 +39,21 @@
 	return &Client{base: config.URL, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
 }
 
+// Delete removes an object.
+func (c *Client) Delete(ctx context.Context, key string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	response, err := c.send(ctx, http.MethodDelete, "/objects/"+key, nil, nil)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		return unavailable(nil)
+	}
+	return nil
+}
+
 // Get returns an object, or a Missing or Unavailable fault.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/lib/store/memory.go
+++ b/lib/store/memory.go
@@ -19,6 +19,14 @@
 	return &Memory{changed: make(chan struct{}), objects: map[string]Object{}}
 }
 
+// Delete removes an object.
+func (m *Memory) Delete(_ context.Context, key string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.objects, key)
+	return nil
+}
+
 // Get returns an object, or a Missing fault.
 func (m *Memory) Get(_ context.Context, key string) (Object, error) {
 	m.mu.Lock()
--- a/lib/store/store.go
+++ b/lib/store/store.go
@@ -15,6 +15,8 @@
 
 // A Store is the part of the platform's object API that the system uses.
 type Store interface {
+	// Delete removes an object; one that does not exist is no error.
+	Delete(ctx context.Context, key string) error
 	// Get returns an object, or a Missing or Unavailable fault.
 	Get(ctx context.Context, key string) (Object, error)
 	// List returns the objects whose keys have a prefix, or an Unavailable fault.
--- a/standin/object/platform.go
+++ b/standin/object/platform.go
@@ -51,6 +51,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /counts", p.getCounts)
 	mux.HandleFunc("POST /mood", p.setMood)
+	mux.HandleFunc("DELETE /objects/{key...}", p.whileUp(p.remove))
 	mux.HandleFunc("GET /objects", p.whileUp(p.list))
 	mux.HandleFunc("GET /objects/{key...}", p.whileUp(p.get))
 	mux.HandleFunc("PUT /objects/{key...}", p.whileUp(p.put))
@@ -135,6 +136,12 @@
 	answer(w, object, err)
 }
 
+func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
+	p.count(func(c *Counts) { c.Writes++ })
+	_ = p.memory.Delete(r.Context(), r.PathValue("key"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (p *Platform) down() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
