--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -79,7 +79,7 @@
 			n.takeConfig(object.Value, "store")
 			n.sleep(watchPause)
 		case fault.Is(err, fault.Missing):
-			n.sleep(watchPause)
+			pause = retryFirst
 		default:
 			n.logStore("The configuration can't be followed.", err)
 			n.sleep(jitter(pause))
