Let new flows wait at the agent, newest first, routes in turn

Backend servers come back cold; the backlog of 1.3 s fills their queues, every request is a little late (p50 311 ms against an aim of 300 ms) and queues of 8 shed the rest.

Change: an agent takes a new flow when its request is expected to meet its aim. Else the flow waits at the agent; routes take turns and within a route the newest goes first. What can't be served before its timeout is refused at once. Requests in progress end when their callers give up: before, the count of busy requests leaked up to 116 on two slots.

--- a/agent/tuple/control.go
+++ b/agent/tuple/control.go
@@ -19,7 +19,8 @@
 	// retryFirst and retryLast bound the pause before the store is called again.
 	retryFirst    = 100 * time.Millisecond
 	retryLast     = 1500 * time.Millisecond
-	sweepInterval = time.Second
+	sweepInterval = 200 * time.Millisecond
+	tickInterval  = 20 * time.Millisecond
 	timerBatch    = 8 // datagrams
 )
 
@@ -27,6 +28,7 @@
 func (n *Node) runTimers() {
 	out := n.newExit(1, timerBatch)
 	reports := n.clock.Subscribe(reportInterval)
+	ticks := n.clock.Subscribe(tickInterval)
 	sweeps := n.clock.Subscribe(sweepInterval)
 	repeats := 0 // of the last change of state, since datagrams get lost
 	for {
@@ -37,6 +39,8 @@
 		case <-n.announced:
 			n.report(out, true)
 			repeats = changeRepeats
+		case <-ticks:
+			n.release(out)
 		case now := <-sweeps:
 			n.mu.Lock()
 			n.carrier.Sweep(now)
@@ -47,6 +51,18 @@
 	}
 }
 
+// release lets waiting flows in, or refuses those that have waited too long.
+func (n *Node) release(out *exit) {
+	now := time.Now()
+	n.mu.Lock()
+	released := n.carrier.Release(now)
+	n.mu.Unlock()
+	for i := range released {
+		out.do(now, &released[i], nil)
+	}
+	out.flush()
+}
+
 func (n *Node) report(out *exit, changed bool) {
 	now := time.Now()
 	n.mu.Lock()
--- a/agent/tuple/packets.go
+++ b/agent/tuple/packets.go
@@ -25,6 +25,9 @@
 // do carries out a verdict about a datagram, which it may change.
 func (e *exit) do(now time.Time, verdict *carry.CarryVerdict, datagram []byte) {
 	n := e.node
+	if verdict.Datagram != nil {
+		datagram = verdict.Datagram
+	}
 	switch verdict.Action {
 	case carry.CarryDeliver:
 		n.config.Codec.SetEcho(datagram, verdict.Echo)
@@ -36,6 +39,9 @@
 		n.config.Codec.SetEcho(datagram, 0)
 		verdict.Forward.Datagram = datagram
 		e.peers.Add(verdict.Forward.Append(e.peers.Buffer(), verdict.Kind), verdict.To.AddrPort())
+	case carry.CarryOwn:
+		owner := carry.Owner{Flow: verdict.Flow}
+		e.peers.Add(owner.Append(e.peers.Buffer()), verdict.To.AddrPort())
 	case carry.CarryReset:
 		e.callers.Add(n.config.Codec.AppendReset(e.callers.Buffer(), verdict.Flow, verdict.Seq), n.caller(verdict.Flow.Caller))
 		n.logReset(now, verdict)
@@ -156,12 +162,16 @@
 	}
 	n.mu.Lock()
 	balancer, tell := n.carrier.FromServer(now, packet)
+	released := n.carrier.Release(now)
 	n.mu.Unlock()
 	out.callers.Add(append(out.callers.Buffer(), datagram...), n.caller(packet.Destination))
 	if tell {
 		owner := carry.Owner{Flow: packet.FromServer()}
 		out.peers.Add(owner.Append(out.peers.Buffer()), balancer.AddrPort())
 	}
+	for i := range released {
+		out.do(now, &released[i], nil)
+	}
 }
 
 // runInlet waits for errors of the backend server's port, which sends nothing here.
--- a/lib/carry/carrier.go
+++ b/lib/carry/carrier.go
@@ -12,10 +12,13 @@
 	acquaintance = 10 * time.Minute
 	// interest is how long an agent keeps reporting its load to a balancer that has sent it something.
 	interest = 2 * time.Second
-	// openingLimit is how long a flow that was taken counts as work before its first request.
-	openingLimit = 1500 * time.Millisecond
+	// openingLimit is how long a flow that was taken counts as work before its first request comes.
+	openingLimit = 300 * time.Millisecond
 	// paceWeight is the weight of a new duration in the mean duration of requests.
-	paceWeight = 0.1
+	paceWeight   = 0.1
+	roomCapacity = 256 // flows
+	// waitLimit is how long a new flow may wait; its caller gives up a little later.
+	waitLimit = 1200 * time.Millisecond
 )
 
 // A CarryAction tells an agent what to do with a packet.
@@ -28,20 +31,23 @@
 	CarryDeliver
 	// CarryMessage sends the message to another process.
 	CarryMessage
+	// CarryOwn tells a balancer that the flow is here.
+	CarryOwn
 	// CarryReset resets the flow.
 	CarryReset
 )
 
 // A CarryVerdict is the decision about one packet at an agent.
 type CarryVerdict struct {
-	Action  CarryAction
-	Echo    uint32
-	Flow    Flow
-	Forward Forward // without its datagram
-	Kind    MessageKind
-	Reason  Reason
-	Seq     uint32
-	To      Endpoint
+	Action   CarryAction
+	Datagram []byte // of a flow that has waited
+	Echo     uint32
+	Flow     Flow
+	Forward  Forward // without its datagram
+	Kind     MessageKind
+	Reason   Reason
+	Seq      uint32
+	To       Endpoint
 }
 
 // ReasonNotHeld means that the backend server does not hold or take the flow.
@@ -65,10 +71,13 @@
 // held is a flow that the backend server holds or may hold.
 type held struct {
 	ack         uint32 // the last one of the caller
+	ahead       int    // requests in progress when this one came, itself included
 	balancer    Endpoint
 	busy        bool
 	established bool // the backend server has gone on after its handshake
+	requested   bool // the request in progress has come; else only the flow that will bring it
 	since       time.Time
+	until       time.Time // when the caller of the request in progress has given up
 }
 
 // A Carrier decides for one agent what happens to packets of flows.
@@ -79,7 +88,8 @@
 	deliveries []delivery
 	flows      *Cache[Flow, *held]
 	nextEcho   uint32
-	pace       time.Duration // mean duration of requests; zero when none has ended
+	pace       time.Duration // mean work of a request; zero when none has ended
+	room       *Room
 }
 
 // NewCarrier returns a carrier without flows.
@@ -90,6 +100,7 @@
 		deliveries: make([]delivery, deliveryCount),
 		flows:      NewCache[Flow, *held](heldCapacity, config.FlowLifetime),
 		nextEcho:   config.FirstEcho,
+		room:       NewRoom(roomCapacity),
 	}
 }
 
@@ -150,7 +161,7 @@
 			return Endpoint{}, false
 		}
 	}
-	if p.Length > 0 && known.busy {
+	if p.Length > 0 && known.busy && known.requested {
 		c.finish(now, known)
 	}
 	if !p.Flags.Has(FlagSyn) {
@@ -170,8 +181,9 @@
 // Report returns what the agent tells balancers now.
 func (c *Carrier) Report(now time.Time) Report {
 	return Report{
-		Busy:    c.busy,
+		Busy:    c.busy + c.room.Len(),
 		Flows:   c.flows.Len(),
+		Pace:    c.pace,
 		Service: c.config.Service,
 		Slots:   c.config.Server.Slots(),
 		State:   c.config.Server.State(now),
@@ -208,7 +220,7 @@
 	c.flows.Sweep(now)
 	c.busy = 0
 	c.flows.Each(func(_ Flow, known *held) {
-		if known.busy && !known.established && now.Sub(known.since) > openingLimit {
+		if known.busy && now.After(known.until) {
 			known.busy = false
 		}
 		if known.busy {
@@ -217,24 +229,26 @@
 	})
 }
 
-// open takes a new flow, or passes it on when the backend server takes none or is too busy to serve it in time.
+// open takes a new flow, passes it on, or lets it wait when the backend server is too busy.
 func (c *Carrier) open(now time.Time, f *Forward, p Packet) CarryVerdict {
 	if c.config.Server.State(now) != StateReady {
 		return c.pass(f, p)
 	}
 	flow := p.FromCaller()
+	if c.room.Has(flow) {
+		return CarryVerdict{Flow: flow, Reason: ReasonHeld}
+	}
 	known, repeated := c.flows.Get(now, flow)
-	if !repeated {
-		if !c.admits(f) {
-			f.Full = true
-			return c.pass(f, p)
-		}
-		known = &held{busy: true, since: now}
-		if !c.flows.Put(now, flow, known) {
-			f.Full = true
-			return c.pass(f, p)
-		}
-		c.busy++
+	if repeated {
+		return c.deliver(f, p)
+	}
+	if c.room.Len() > 0 || !c.load().meets(f.Aim) {
+		return c.wait(now, f, p)
+	}
+	known, taken := c.take(now, flow)
+	if !taken {
+		f.Full = true
+		return c.pass(f, p)
 	}
 	if len(f.Asked) > 0 {
 		known.balancer = f.Origin
@@ -242,28 +256,76 @@
 	return c.deliver(f, p)
 }
 
-// admits reports whether a new flow should be served here: at once if a slot is free, else within its aim when no
-// other agent is left to ask, and as the last resort within its timeout.
-func (c *Carrier) admits(f *Forward) bool {
-	slots := c.config.Server.Slots()
-	if c.busy < slots {
-		return true
+// take makes room for a new flow and reports false when the agent holds too many.
+func (c *Carrier) take(now time.Time, flow Flow) (*held, bool) {
+	known := &held{}
+	if !c.flows.Put(now, flow, known) {
+		return nil, false
 	}
+	c.begin(now, known)
+	return known, true
+}
+
+// wait passes a new flow on while other agents are left to ask; then it lets the flow wait here if it can still be
+// served in time, or refuses it at once.
+func (c *Carrier) wait(now time.Time, f *Forward, p Packet) CarryVerdict {
+	f.Full = true
 	if len(f.Next) > 0 {
-		return false
+		return c.pass(f, p)
+	}
+	load := c.load()
+	load.Busy += c.room.Len()
+	kept := *f
+	kept.Datagram = nil
+	g := guest{datagram: slices.Clone(f.Datagram), forward: kept, packet: p, since: now}
+	if load.finish(f.Aim) > f.Timeout || !c.room.add(g) {
+		f.Last = true
+		return c.pass(f, p)
+	}
+	return CarryVerdict{Action: CarryOwn, Flow: p.FromCaller(), Reason: ReasonHeld, To: f.Origin}
+}
+
+// Release returns the decisions about waiting flows that the backend server has room for now, or that have waited
+// too long.
+func (c *Carrier) Release(now time.Time) []CarryVerdict {
+	var verdicts []CarryVerdict
+	for {
+		g, ok := c.room.peek()
+		if !ok || !c.load().meets(g.forward.Aim) {
+			break
+		}
+		known, taken := c.take(now, g.packet.FromCaller())
+		if !taken {
+			break
+		}
+		c.room.pop()
+		known.balancer = g.forward.Origin
+		verdict := c.deliver(&g.forward, g.packet)
+		verdict.Datagram = g.datagram
+		verdicts = append(verdicts, verdict)
 	}
-	wait := c.pace * time.Duration(c.busy+1) / time.Duration(slots)
-	if f.Urgent {
-		return wait < f.Timeout
+	for _, g := range c.room.expire(now.Add(-waitLimit)) {
+		g.forward.Last = true
+		verdict := c.pass(&g.forward, g.packet)
+		verdict.Datagram = g.datagram
+		verdicts = append(verdicts, verdict)
 	}
-	return wait < f.Aim
+	return verdicts
+}
+
+// Waiting returns the number of waiting flows.
+func (c *Carrier) Waiting() int { return c.room.Len() }
+
+// load returns the work of the backend server without what waits at this agent.
+func (c *Carrier) load() Report {
+	return Report{Busy: c.busy, Pace: c.pace, Slots: c.config.Server.Slots()}
 }
 
 // follow records a packet of an open flow on its way to the backend server.
 func (c *Carrier) follow(now time.Time, f *Forward, p Packet) {
 	known, ok := c.flows.Get(now, p.FromCaller())
 	if !ok {
-		if p.Flags.Has(FlagReset) {
+		if p.Length == 0 {
 			return
 		}
 		// The agent may have restarted; whether the flow is here shows in what the backend server does.
@@ -276,11 +338,21 @@
 	if len(f.Asked) > 0 || len(f.Next) > 0 {
 		known.balancer = f.Origin
 	}
-	if p.Length > 0 && !known.busy {
-		known.busy = true
+	if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
+		c.idle(known) // the caller waits for nothing more
+		return
+	}
+	if p.Length == 0 {
+		return
+	}
+	if !known.busy {
+		c.begin(now, known)
+	}
+	if !known.requested {
+		known.requested = true
 		known.since = now
-		c.busy++
 	}
+	known.until = now.Add(f.Timeout)
 }
 
 func (c *Carrier) deliver(f *Forward, p Packet) CarryVerdict {
@@ -306,20 +378,38 @@
 	return verdict
 }
 
+// begin records that a request, or the flow that will bring one, has come.
+func (c *Carrier) begin(now time.Time, known *held) {
+	c.busy++
+	known.ahead = c.busy
+	known.busy = true
+	known.since = now
+	known.until = now.Add(openingLimit)
+}
+
+// idle records that a flow has no request in progress.
+func (c *Carrier) idle(known *held) {
+	if known.busy {
+		c.busy = max(0, c.busy-1)
+	}
+	known.busy = false
+	known.requested = false
+}
+
 // finish records that the response to a request has begun.
 func (c *Carrier) finish(now time.Time, known *held) {
-	known.busy = false
-	c.busy = max(0, c.busy-1)
-	took := now.Sub(known.since)
+	c.idle(known)
+	work := now.Sub(known.since)
+	if slots := c.config.Server.Slots(); known.ahead > slots {
+		work = work * time.Duration(slots) / time.Duration(known.ahead)
+	}
 	if c.pace == 0 {
-		c.pace = took
+		c.pace = work
 	}
-	c.pace += time.Duration(float64(took-c.pace) * paceWeight)
+	c.pace += time.Duration(float64(work-c.pace) * paceWeight)
 }
 
 func (c *Carrier) drop(flow Flow, known *held) {
 	c.flows.Delete(flow)
-	if known.busy {
-		c.busy = max(0, c.busy-1)
-	}
+	c.idle(known)
 }
--- a/lib/carry/director.go
+++ b/lib/carry/director.go
@@ -259,30 +259,46 @@
 // Proving reports whether flows wait for a list of members.
 func (d *Director) Proving() bool { return len(d.proofs) > 0 }
 
-// Tick returns the decisions about waiting flows that an agent takes now, or that have waited too long.
+// Tick returns the decisions about waiting flows that can be offered to an agent now, the newest first, or that have
+// waited too long.
 func (d *Director) Tick(now time.Time) []Verdict {
 	var verdicts []Verdict
-	for flow, wait := range d.waits {
+	for _, flow := range d.waitingFlows() {
+		wait := d.waits[flow]
 		route, ok := d.routes.ByAddress[flow.Service]
 		if !ok {
 			delete(d.waits, flow)
 			continue
 		}
 		verdict := d.place(now, route, wait.packet, nil)
-		switch {
-		case verdict.Action == ActForward:
-			verdict.Forward.Datagram = wait.datagram
-		case now.Sub(wait.since) < d.config.HoldLimit:
-			continue
-		default:
+		if verdict.Action != ActForward {
+			if now.Sub(wait.since) < d.config.HoldLimit {
+				continue
+			}
 			verdict = reset(wait.packet, ReasonNoAgent)
 		}
+		verdict.Forward.Datagram = wait.datagram
 		delete(d.waits, flow)
 		verdicts = append(verdicts, verdict)
 	}
 	return verdicts
 }
 
+// waitingFlows returns the waiting flows, the newest first.
+func (d *Director) waitingFlows() []Flow {
+	flows := make([]Flow, 0, len(d.waits))
+	for flow := range d.waits {
+		flows = append(flows, flow)
+	}
+	slices.SortFunc(flows, func(x, y Flow) int {
+		if order := d.waits[y].since.Compare(d.waits[x].since); order != 0 {
+			return order
+		}
+		return x.Compare(y)
+	})
+	return flows
+}
+
 // Sweep forgets what has expired.
 func (d *Director) Sweep(now time.Time) {
 	d.hints.Sweep(now)
@@ -337,27 +353,32 @@
 
 // openElsewhere decides about a new flow that every candidate so far has refused.
 func (d *Director) openElsewhere(now time.Time, route Route, p Packet, f *Forward) Verdict {
-	if f.Urgent {
+	if f.Last {
 		return reset(p, ReasonSaturated)
 	}
 	verdict := d.place(now, route, p, f.Asked)
-	if verdict.Action == ActForward {
+	switch {
+	case verdict.Action == ActForward:
 		verdict.Forward.Asked = f.Asked
 		verdict.Forward.Full = f.Full
 		return verdict
+	case f.Full:
+		return d.lastResort(now, route, p)
 	}
-	if !f.Full {
-		return d.hold(now, p, f.Datagram)
-	}
+	return d.hold(now, p, f.Datagram)
+}
+
+// lastResort gives a new flow to the least loaded agent, which takes it, lets it wait or refuses it.
+func (d *Director) lastResort(now time.Time, route Route, p Packet) Verdict {
 	flow := p.FromCaller()
 	service := route.Service(flow)
 	least, ok := d.Agents.leastLoaded(now, service)
 	if !ok {
-		return reset(p, ReasonSaturated)
+		return reset(p, ReasonNoAgent)
 	}
 	d.hints.Put(now, flow, least)
-	verdict = d.forward(now, route, p, service, []Endpoint{least}, nil)
-	verdict.Forward.Urgent = true
+	verdict := d.forward(now, route, p, service, []Endpoint{least}, nil)
+	verdict.Forward.Last = true
 	return verdict
 }
 
@@ -443,6 +464,7 @@
 			Origin:  d.config.Self,
 			Service: service,
 			Timeout: route.Timeout,
+			Urgency: route.Urgency,
 		},
 		To: to,
 	}
--- a/lib/carry/message.go
+++ b/lib/carry/message.go
@@ -41,8 +41,9 @@
 	Next     []Endpoint // agents to ask after this one
 	Origin   Endpoint   // the balancer that began the search
 	Service  ServiceID
+	Last     bool          // no other agent is to be asked
 	Timeout  time.Duration // of the route
-	Urgent   bool          // the least loaded agent of all; it takes whatever can still be served in time
+	Urgency  int           // of the route, from -128 to 127
 }
 
 // An Owner tells which flow the sender holds.
@@ -85,8 +86,9 @@
 
 // A Report is what an agent tells balancers about itself.
 type Report struct {
-	Busy    int // requests in progress
-	Flows   int // open flows
+	Busy    int           // requests in progress
+	Flows   int           // open flows
+	Pace    time.Duration // mean work of a request; zero when not known
 	Service ServiceID
 	Slots   int // requests that the backend server runs at once
 	State   State
@@ -110,13 +112,14 @@
 }
 
 const (
-	forwardFull   = 1
-	forwardUrgent = 2
+	forwardFull = 1
+	forwardLast = 2
 )
 
 // Append appends the message as the given kind, KindForward or KindReturn.
 func (f *Forward) Append(dst []byte, kind MessageKind) []byte {
-	dst = append(dst, byte(kind), flag(f.Full, forwardFull)|flag(f.Urgent, forwardUrgent))
+	dst = append(dst, byte(kind), flag(f.Full, forwardFull)|flag(f.Last, forwardLast))
+	dst = append(dst, byte(int8(max(-128, min(f.Urgency, 127)))))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(f.Service))
 	dst = appendEndpoint(dst, f.Origin)
 	dst = binary.BigEndian.AppendUint16(dst, shortMillis(f.Aim))
@@ -131,7 +134,8 @@
 	r := reader{rest: message}
 	r.byte()
 	flags := r.byte()
-	f.Full, f.Urgent = flags&forwardFull != 0, flags&forwardUrgent != 0
+	f.Full, f.Last = flags&forwardFull != 0, flags&forwardLast != 0
+	f.Urgency = int(int8(r.byte()))
 	f.Service = ServiceID(r.uint64())
 	f.Origin = r.endpoint()
 	f.Aim = time.Duration(r.uint16()) * millisecond
@@ -165,7 +169,8 @@
 	dst = binary.BigEndian.AppendUint64(dst, uint64(p.Zone))
 	dst = binary.BigEndian.AppendUint16(dst, clamp(p.Busy))
 	dst = binary.BigEndian.AppendUint16(dst, clamp(p.Flows))
-	return binary.BigEndian.AppendUint16(dst, clamp(p.Slots))
+	dst = binary.BigEndian.AppendUint16(dst, clamp(p.Slots))
+	return binary.BigEndian.AppendUint16(dst, shortMillis(p.Pace))
 }
 
 // Decode reads the message.
@@ -179,6 +184,7 @@
 	p.Busy = int(r.uint16())
 	p.Flows = int(r.uint16())
 	p.Slots = int(r.uint16())
+	p.Pace = time.Duration(r.uint16()) * millisecond
 	return !r.failed && p.State <= StateLeft
 }
 
