--- a/lib/carry/director.go
+++ b/lib/carry/director.go
@@ -81,7 +81,8 @@
 	no     []Endpoint // agents that do not hold the flow
 }
 
-type proof struct {
+// An ending is a flow that no known agent holds.
+type ending struct {
 	seq   uint32
 	since time.Time
 }
@@ -98,7 +99,7 @@
 
 	config   DirectorConfig
 	hints    *Cache[Flow, Endpoint]
-	proofs   map[Flow]proof
+	proofs   map[Flow]ending
 	removed  *Cache[Endpoint, struct{}]
 	routes   Routes
 	searches *Cache[Flow, *search]
@@ -112,7 +113,7 @@
 		Agents:   NewAgents(config.LostAfter),
 		config:   config,
 		hints:    NewCache[Flow, Endpoint](hintCapacity, config.FlowLifetime),
-		proofs:   map[Flow]proof{},
+		proofs:   map[Flow]ending{},
 		removed:  NewCache[Endpoint, struct{}](removedMemory, config.FlowLifetime),
 		searches: NewCache[Flow, *search](searchCapacity, searchMemory),
 		served:   map[Endpoint][]ServiceID{},
@@ -212,8 +213,8 @@
 // to have ended: no agent on it, nor any other that is known, holds them.
 func (d *Director) Listed(now, asked time.Time) []Verdict {
 	var verdicts []Verdict
-	for flow, proof := range d.proofs {
-		if proof.since.After(asked) {
+	for flow, end := range d.proofs {
+		if end.since.After(asked) {
 			continue
 		}
 		delete(d.proofs, flow)
@@ -224,7 +225,7 @@
 		if d.mayBeHeld(now, flow, known.no) {
 			continue
 		}
-		verdicts = append(verdicts, Verdict{Action: ActReset, Flow: flow, Reason: ReasonOwnerEnded, Seq: proof.seq})
+		verdicts = append(verdicts, Verdict{Action: ActReset, Flow: flow, Reason: ReasonOwnerEnded, Seq: end.seq})
 	}
 	slices.SortFunc(verdicts, func(a, b Verdict) int { return a.Flow.Compare(b.Flow) })
 	return verdicts
@@ -304,8 +305,8 @@
 	d.hints.Sweep(now)
 	d.removed.Sweep(now)
 	d.searches.Sweep(now)
-	for flow, proof := range d.proofs {
-		if now.Sub(proof.since) > searchMemory {
+	for flow, end := range d.proofs {
+		if now.Sub(end.since) > searchMemory {
 			delete(d.proofs, flow)
 		}
 	}
@@ -446,7 +447,7 @@
 		return Verdict{Flow: flow, Reason: ReasonNoAgent}
 	}
 	if _, asked := d.proofs[flow]; !asked && len(d.proofs) < searchCapacity {
-		d.proofs[flow] = proof{seq: p.Ack, since: now}
+		d.proofs[flow] = ending{seq: p.Ack, since: now}
 	}
 	return Verdict{Action: ActProve, Flow: flow, Reason: ReasonProving}
 }
--- /dev/null
+++ b/lib/carry/message_test.go
@@ -0,0 +1,75 @@
+package carry
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func drawEndpoint(t *rapid.T) Endpoint {
+	return Endpoint{IP: [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "ip")), Port: rapid.Uint16().Draw(t, "port")}
+}
+
+func drawList(t *rapid.T) []Endpoint {
+	var list []Endpoint
+	for range rapid.IntRange(0, maxListed).Draw(t, "length") {
+		list = append(list, drawEndpoint(t))
+	}
+	return list
+}
+
+func TestForwardSurvivesItsCodec(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sent := Forward{
+			Aim:      time.Duration(rapid.IntRange(0, 65535).Draw(t, "aim")) * time.Millisecond,
+			Asked:    drawList(t),
+			Datagram: rapid.SliceOfN(rapid.Byte(), 1, 40).Draw(t, "datagram"),
+			Full:     rapid.Bool().Draw(t, "full"),
+			Last:     rapid.Bool().Draw(t, "last"),
+			Next:     drawList(t),
+			Origin:   drawEndpoint(t),
+			Service:  ServiceID(rapid.Uint64().Draw(t, "service")),
+			Timeout:  time.Duration(rapid.IntRange(0, 65535).Draw(t, "timeout")) * time.Millisecond,
+			Urgency:  rapid.IntRange(-128, 127).Draw(t, "urgency"),
+		}
+		var got Forward
+		message := sent.Append(nil, KindForward)
+		if !got.Decode(message) || !reflect.DeepEqual(sent, got) {
+			t.Fatalf("sent %+v, got %+v", sent, got)
+		}
+		for cut := range message {
+			got.Decode(message[:cut]) // must not panic
+		}
+	})
+}
+
+func TestReportSurvivesItsCodec(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sent := Report{Busy: 3, Flows: 99, Pace: 55 * time.Millisecond, Service: 7, Slots: 2, State: StateDraining, Warming: true, Zone: 9}
+	var got Report
+	g.Expect(got.Decode(sent.Append(nil))).To(gomega.BeTrue())
+	g.Expect(got).To(gomega.Equal(sent))
+	g.Expect(got.Decode(sent.Append(nil)[:10])).To(gomega.BeFalse())
+}
+
+func FuzzMessages(f *testing.F) {
+	f.Add((&Forward{Datagram: []byte{1}, Next: []Endpoint{testAddress}}).Append(nil, KindForward))
+	f.Add(Report{}.Append(nil))
+	f.Add(Owner{}.Append(nil))
+	f.Add(Digest{}.Append(nil))
+	f.Fuzz(func(t *testing.T, message []byte) {
+		var forward Forward
+		if forward.Decode(message) && len(forward.Next) > maxListed {
+			t.Fatal("too many agents are listed")
+		}
+		var report Report
+		report.Decode(message)
+		var owner Owner
+		owner.Decode(message)
+		var digest Digest
+		digest.Decode(message)
+	})
+}
--- /dev/null
+++ b/lib/carry/server_test.go
@@ -0,0 +1,70 @@
+package carry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/cyclamendock/cyclamendock/lib/fault"
+)
+
+func announcement(born, sequence int64, state State) Announcement {
+	return Announcement{Born: born, ID: "i-1", Sequence: sequence, Service: testService, Slots: 7, State: state}
+}
+
+func TestLateAnnouncementsChangeNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	s := NewServer(testService, time.Second)
+	changed, err := s.Announce(now, announcement(5, 3, StateReady))
+	g.Expect(changed, err).To(gomega.BeTrue())
+	changed, err = s.Announce(now, announcement(5, 4, StateDraining))
+	g.Expect(changed, err).To(gomega.BeTrue())
+	changed, err = s.Announce(now, announcement(5, 2, StateReady))
+	g.Expect(changed, err).To(gomega.BeFalse())
+	g.Expect(s.State(now)).To(gomega.Equal(StateDraining))
+	_, err = s.Announce(now, announcement(4, 9, StateReady))
+	g.Expect(fault.Is(err, fault.Stale)).To(gomega.BeTrue())
+	g.Expect(s.State(now)).To(gomega.Equal(StateDraining))
+}
+
+func TestNewProcessReplacesTheOneBefore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	s := NewServer(testService, time.Second)
+	_, _ = s.Announce(now, announcement(5, 30, StateDraining))
+	changed, err := s.Announce(now, announcement(6, 1, StateReady))
+	g.Expect(changed, err).To(gomega.BeTrue())
+	g.Expect(s.State(now)).To(gomega.Equal(StateReady))
+}
+
+func TestAnnouncementOfAnotherServiceIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := NewServer("nachweise", time.Second)
+	_, err := s.Announce(time.Unix(0, 0), announcement(5, 1, StateReady))
+	g.Expect(fault.Is(err, fault.Invalid)).To(gomega.BeTrue())
+	g.Expect(s.State(time.Unix(0, 0))).To(gomega.Equal(StateUnknown))
+}
+
+func TestServerThatLeftIsNotRevivedByALateAnnouncement(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	s := NewServer(testService, time.Second)
+	_, _ = s.Announce(now, announcement(5, 3, StateDraining))
+	g.Expect(s.Leave("another")).To(gomega.BeFalse())
+	g.Expect(s.Leave("i-1")).To(gomega.BeTrue())
+	_, _ = s.Announce(now, announcement(5, 4, StateReady)) // sent before it left
+	g.Expect(s.State(now)).To(gomega.Equal(StateGone))
+	_, _ = s.Announce(now, announcement(6, 1, StateReady))
+	g.Expect(s.State(now)).To(gomega.Equal(StateReady))
+}
+
+func TestSilentServerGetsNoNewFlows(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	s := NewServer(testService, time.Second)
+	_, _ = s.Announce(now, announcement(5, 3, StateReady))
+	g.Expect(s.State(now.Add(missedBeats * time.Second))).To(gomega.Equal(StateReady))
+	g.Expect(s.State(now.Add(missedBeats*time.Second + 1))).To(gomega.Equal(StateUnknown))
+}
