Sharpen two tests that missed a mutation

Cause: owners were always first in the order of a search, so a swallowed search was never needed; no test compared a warming server.

--- a/lib/carry/director_test.go
+++ b/lib/carry/director_test.go
@@ -97,6 +97,13 @@
 	g.Expect(chosen).To(gomega.HaveKeyWithValue(testEndpoint(2, 0), 7))
 }
 
+func TestNewFlowsAvoidAServerThatHasJustStarted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	cold := agent{report: Report{Busy: 3, Slots: 7, Warming: true}}
+	warm := agent{report: Report{Busy: 4, Slots: 7}}
+	g.Expect(cold.utilisation()).To(gomega.BeNumerically(">", warm.utilisation()))
+}
+
 func TestFlowsFollowTheWeightsOfTheirRoute(t *testing.T) {
 	g := gomega.NewWithT(t)
 	route := Route{Shares: []Share{{Service: 1, Weight: 90}, {Service: 2, Weight: 10}}}
--- a/lib/carry/network_test.go
+++ b/lib/carry/network_test.go
@@ -340,6 +340,12 @@
 	for seed := range uint64(30) {
 		n := newTestNetwork(seed, 2, 7)
 		flow := testFlow(int(seed))
+		for _, a := range n.agents { // so that the owner is not the first in the order of the search
+			busy := Report{Busy: n.random.IntN(7), Service: ServiceIDOf(testService), Slots: 7, State: StateReady}
+			for _, d := range n.directors {
+				d.Agents.Report(n.now, a.address, busy)
+			}
+		}
 		n.open(flow)
 		for _, dead := range n.agents {
 			dead.alive = n.owners[flow] == dead || n.random.IntN(2) == 0 // the balancers do not know it yet
