Forget agents that are silent for long and remove them from the members

Cause: an agent whose host was lost without a goodbye stays in the store. After a power loss every new balancer has to wait four seconds for it before the end of a flow is proved.

Change: an agent silent for eight seconds, while most others are heard, is forgotten; the balancer whose duty it is removes it from the members. An agent that is heard but missing from the members is asked to join again.

--- a/agent/tuple/control.go
+++ b/agent/tuple/control.go
@@ -13,7 +13,9 @@
 const (
 	// changeRepeats is how often a change of state is reported again.
 	changeRepeats = 2
-	leaveTimeout  = time.Second
+	// joinPause is the least pause between two entries into the members.
+	joinPause    = 5 * time.Second
+	leaveTimeout = time.Second
 	// reportInterval is how often balancers that send packets hear of this agent.
 	reportInterval = 100 * time.Millisecond
 	// retryFirst and retryLast bound the pause before the store is called again.
@@ -75,12 +77,25 @@
 	out.flush()
 }
 
-// runMembers joins the members and reports to the balancers among them.
+// runMembers joins the members and reports to the balancers among them, again whenever a balancer misses this agent.
 func (n *Node) runMembers() {
+	first := n.config.First
+	for n.ctx.Err() == nil {
+		n.join(first)
+		first = false
+		n.sleep(joinPause)
+		select {
+		case <-n.rejoin:
+		case <-n.ctx.Done():
+		}
+	}
+}
+
+func (n *Node) join(first bool) {
 	n.greet(n.config.Seeds)
 	pause := retryFirst
 	for n.ctx.Err() == nil {
-		members, err := n.directory.Join(n.ctx, n.config.First)
+		members, err := n.directory.Join(n.ctx, first)
 		if err == nil {
 			n.takeMembers(members)
 			return
--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -56,6 +56,7 @@
 	limiter   *logs.Limiter
 	mu        sync.Mutex // guards carrier and server
 	outlet    *link.Socket
+	rejoin    chan struct{}
 	server    *carry.Server
 	socket    *link.Socket
 	stop      context.CancelFunc
@@ -79,6 +80,7 @@
 		config:    config,
 		ctx:       ctx,
 		directory: member.NewDirectory(config.Store, member.Member{Address: config.Address, Role: member.RoleAgent}),
+		rejoin:    make(chan struct{}, 1),
 		limiter:   logs.NewLimiter(packetLines),
 		server:    server,
 		stop:      stop,
@@ -142,6 +144,14 @@
 	}
 }
 
+// joinSoon makes runMembers enter the members again.
+func (n *Node) joinSoon() {
+	select {
+	case n.rejoin <- struct{}{}:
+	default:
+	}
+}
+
 // reportSoon makes runTimers report to the balancers at once.
 func (n *Node) reportSoon() {
 	select {
--- a/agent/tuple/packets.go
+++ b/agent/tuple/packets.go
@@ -107,6 +107,8 @@
 		report := n.carrier.Report(now)
 		n.mu.Unlock()
 		out.peers.Add(report.Append(out.peers.Buffer()), from)
+	case carry.KindJoin:
+		n.joinSoon()
 	default:
 		n.logLimited(now, "Ignored an unknown message.", logs.Fields{"from": from.String()})
 	}
--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -37,9 +37,7 @@
 		case <-ticks:
 			n.tick(out)
 		case now := <-sweeps:
-			n.mu.Lock()
-			n.director.Sweep(now)
-			n.mu.Unlock()
+			n.sweep(now)
 		case <-digests:
 			n.mu.Lock()
 			to := n.peers.next()
@@ -51,6 +49,35 @@
 	}
 }
 
+// sweep forgets what has expired, and agents that have been silent for long.
+func (n *Node) sweep(now time.Time) {
+	n.mu.Lock()
+	n.director.Sweep(now)
+	forgotten := n.director.Agents.Forget(now)
+	var mine []carry.Endpoint
+	for _, agent := range forgotten {
+		if n.peers.first(now, agent) {
+			mine = append(mine, agent)
+		}
+	}
+	n.mu.Unlock()
+	for _, agent := range forgotten {
+		n.config.Log.Info("Agent forgotten.", logs.Fields{"agent": agent.String()})
+	}
+	if len(mine) > 0 {
+		go n.runRemove(mine)
+	}
+}
+
+// runRemove removes agents from the members; one that is back joins again when it is missed in a list.
+func (n *Node) runRemove(agents []carry.Endpoint) {
+	for _, agent := range agents {
+		if err := n.directory.Remove(n.ctx, agent.AddrPort()); err != nil {
+			n.logStore("An agent can't be removed from the members.", err)
+		}
+	}
+}
+
 func (n *Node) tick(out *outlet) {
 	now := time.Now()
 	n.mu.Lock()
@@ -164,18 +191,26 @@
 	}
 }
 
+// takeMembers adds listed members and asks agents that are missing from the list to join again.
 func (n *Node) takeMembers(members []member.Member) {
 	now := time.Now()
+	var listed []carry.Endpoint
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	for _, m := range members {
 		switch m.Role {
 		case member.RoleAgent:
+			listed = append(listed, carry.EndpointOf(m.Address))
 			n.director.Agents.Add(now, carry.EndpointOf(m.Address))
 		case member.RoleBalancer:
 			n.peers.add(m.Address)
 		}
 	}
+	unlisted := n.director.Agents.Unlisted(now, listed)
+	n.mu.Unlock()
+	for _, agent := range unlisted {
+		n.config.Log.Info("Agent is missing from the members.", logs.Fields{"agent": agent.String()})
+		n.socket.Send(carry.AppendJoin(nil), agent.AddrPort())
+	}
 }
 
 // askForList makes runMembers read the members soon.
--- a/balancer/tuple/peers.go
+++ b/balancer/tuple/peers.go
@@ -16,17 +16,20 @@
 	digestInterval = time.Second
 	// digestFanout is how many balancers it compares with each time.
 	digestFanout = 3
+	// peerSilence is how long a balancer may be silent before others act in its place.
+	peerSilence = 10 * time.Second
 )
 
 // peers are the other balancers that a balancer knows.
 type peers struct {
-	list []netip.AddrPort // in order
-	self netip.AddrPort
-	turn uint64
+	heard map[netip.AddrPort]time.Time // last digest of each
+	list  []netip.AddrPort             // in order
+	self  netip.AddrPort
+	turn  uint64
 }
 
 func newPeers(self netip.AddrPort, seeds []netip.AddrPort) *peers {
-	p := &peers{self: self, turn: new(maphash.Hash).Sum64()}
+	p := &peers{heard: map[netip.AddrPort]time.Time{}, self: self, turn: new(maphash.Hash).Sum64()}
 	for _, seed := range seeds {
 		p.add(seed)
 	}
@@ -46,6 +49,27 @@
 	return true
 }
 
+// hear records a sign of life of a balancer.
+func (p *peers) hear(now time.Time, address netip.AddrPort) {
+	p.add(address)
+	p.heard[address] = now
+}
+
+// first reports whether of the living balancers this one has to act for an agent.
+func (p *peers) first(now time.Time, agent carry.Endpoint) bool {
+	own := duty(agent, p.self)
+	for other, heard := range p.heard {
+		if now.Sub(heard) < peerSilence && duty(agent, other) > own {
+			return false
+		}
+	}
+	return true
+}
+
+func duty(agent carry.Endpoint, balancer netip.AddrPort) uint64 {
+	return xxhash.Sum64String(agent.String() + balancer.String())
+}
+
 // next returns the balancers whose turn it is to be compared with.
 func (p *peers) next() []netip.AddrPort {
 	count := min(digestFanout, len(p.list))
--- a/balancer/tuple/sync.go
+++ b/balancer/tuple/sync.go
@@ -48,13 +48,13 @@
 	return nil
 }
 
-func (n *Node) handleDigest(_ time.Time, message []byte, from netip.AddrPort) bool {
+func (n *Node) handleDigest(now time.Time, message []byte, from netip.AddrPort) bool {
 	var theirs carry.Digest
 	if !theirs.Decode(message) {
 		return false
 	}
 	n.mu.Lock()
-	n.peers.add(from)
+	n.peers.hear(now, from)
 	ours := n.digest(true)
 	n.mu.Unlock()
 	behind := theirs.Version > ours.Version || theirs.Members != ours.Members
--- a/lib/carry/agents.go
+++ b/lib/carry/agents.go
@@ -7,8 +7,15 @@
 )
 
 const (
+	// forgetFactor is how many times longer than until it is lost an agent has to be silent to be forgotten.
+	forgetFactor = 2
+	// forgottenMemory is how long a forgotten address is not taken from others that still know it.
+	forgottenMemory   = time.Minute
+	forgottenCapacity = 1 << 12 // addresses
 	// helloFirst is the first pause between greetings of an agent that has not answered.
 	helloFirst = 50 * time.Millisecond
+	// joinTime is how long an agent that has just started may take to enter the members.
+	joinTime = 5 * time.Second
 	// helloLast is the longest pause between greetings.
 	helloLast = 2 * time.Second
 	// staleAfter is how long an agent of a service in use may be unheard before it is greeted.
@@ -28,6 +35,7 @@
 	greeted  time.Time
 	heard    time.Time // last report; zero when never
 	mean     float64   // smoothed busy requests
+	met      time.Time // first report
 	pause    time.Duration
 	report   Report
 	since    time.Time // when it began to be silent: known, or first sent something after its last report
@@ -38,6 +46,7 @@
 type Agents struct {
 	byAddress map[Endpoint]*agent
 	byService map[ServiceID][]*agent
+	forgotten *Cache[Endpoint, struct{}]
 	lostAfter time.Duration
 	used      map[ServiceID]time.Time // last packet for each service
 }
@@ -47,14 +56,15 @@
 	return &Agents{
 		byAddress: map[Endpoint]*agent{},
 		byService: map[ServiceID][]*agent{},
+		forgotten: NewCache[Endpoint, struct{}](forgottenCapacity, forgottenMemory),
 		lostAfter: lostAfter,
 		used:      map[ServiceID]time.Time{},
 	}
 }
 
-// Add makes an address known and reports whether it was new.
+// Add makes an address known, unless it was forgotten lately, and reports whether it was new.
 func (a *Agents) Add(now time.Time, address Endpoint) bool {
-	if a.byAddress[address] != nil {
+	if a.byAddress[address] != nil || a.forgotten.Has(now, address) {
 		return false
 	}
 	a.byAddress[address] = &agent{address: address, pause: helloFirst, since: now, waits: true}
@@ -78,6 +88,7 @@
 		a.Remove(address)
 		return left
 	}
+	a.forgotten.Delete(address)
 	a.Add(now, address)
 	known := a.byAddress[address]
 	first := known.heard.IsZero()
@@ -88,6 +99,7 @@
 	}
 	if first {
 		known.mean = float64(report.Busy)
+		known.met = now
 	}
 	known.mean += (float64(report.Busy) - known.mean) * smoothing
 	known.assigned = 0
@@ -98,6 +110,39 @@
 	return changed
 }
 
+// Forget forgets and returns the agents that have been silent for long, while most others are heard: when they are
+// not, it may be this balancer that can't be reached.
+func (a *Agents) Forget(now time.Time) []Endpoint {
+	a.forgotten.Sweep(now)
+	var silent []Endpoint
+	for address, known := range a.byAddress {
+		if known.waits && now.Sub(known.since) > forgetFactor*a.lostAfter {
+			silent = append(silent, address)
+		}
+	}
+	if 2*len(silent) > len(a.byAddress) {
+		return nil
+	}
+	slices.SortFunc(silent, Endpoint.Compare)
+	for _, address := range silent {
+		a.Remove(address)
+		a.forgotten.Put(now, address, struct{}{})
+	}
+	return silent
+}
+
+// Unlisted returns the agents that are heard but missing from a list of members.
+func (a *Agents) Unlisted(now time.Time, listed []Endpoint) []Endpoint {
+	var missing []Endpoint
+	for address, known := range a.byAddress {
+		if !known.suspect(now) && now.Sub(known.met) > joinTime && !slices.Contains(listed, address) {
+			missing = append(missing, address)
+		}
+	}
+	slices.SortFunc(missing, Endpoint.Compare)
+	return missing
+}
+
 // Sent records that an agent was sent something that makes it report.
 func (a *Agents) Sent(now time.Time, address Endpoint, opens bool) {
 	known := a.byAddress[address]
--- a/lib/carry/cache.go
+++ b/lib/carry/cache.go
@@ -30,6 +30,12 @@
 	return entry.value, true
 }
 
+// Has reports whether there is a value and leaves its life as it is.
+func (c *Cache[K, V]) Has(now time.Time, key K) bool {
+	entry := c.entries[key]
+	return entry != nil && !now.After(entry.expires)
+}
+
 // Put stores a value and reports false when the cache is full.
 func (c *Cache[K, V]) Put(now time.Time, key K, value V) bool {
 	entry := c.entries[key]
--- a/lib/carry/message.go
+++ b/lib/carry/message.go
@@ -20,6 +20,8 @@
 	KindReport
 	// KindHello asks an agent for a report.
 	KindHello
+	// KindJoin asks an agent to enter the members in the store again.
+	KindJoin
 	// KindDigest tells a balancer which configuration and members another one knows.
 	KindDigest
 )
@@ -191,6 +193,9 @@
 // AppendHello appends a message of kind KindHello.
 func AppendHello(dst []byte) []byte { return append(dst, byte(KindHello)) }
 
+// AppendJoin appends a message of kind KindJoin.
+func AppendJoin(dst []byte) []byte { return append(dst, byte(KindJoin)) }
+
 // Append appends the message.
 func (d Digest) Append(dst []byte) []byte {
 	dst = append(dst, byte(KindDigest), flag(d.Reply, 1))
