--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -11,6 +11,12 @@
 )
 
 const (
+	// checkInterval is how often one of the balancers reads the configuration. With maxCheckRank staggers it stays
+	// under the 3 s in which a change has to be in force.
+	checkInterval = 1800 * time.Millisecond
+	checkStagger  = 200 * time.Millisecond
+	checkTick     = 50 * time.Millisecond
+	maxCheckRank  = 4
 	// holdLimit is how long a new flow waits for an agent before it is refused.
 	holdLimit = 1200 * time.Millisecond
 	// leaveLinger covers the routers' two missed checks, half a second apart.
@@ -42,7 +48,7 @@
 			n.mu.Lock()
 			to := n.peers.next()
 			n.mu.Unlock()
-			n.sendDigests(to)
+			n.sendDigests(to, false)
 		case <-n.ctx.Done():
 			return
 		}
@@ -115,6 +121,45 @@
 	}
 }
 
+// runCheck reads the configuration when no balancer has for a while: a waiting watch may miss changes, when the store
+// drops its history or the connection goes silent.
+func (n *Node) runCheck() {
+	ticks := n.clock.Subscribe(checkTick)
+	for {
+		select {
+		case now := <-ticks:
+			if n.checkDue(now) {
+				n.check()
+			}
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
+// checkDue reports whether it is this balancer's turn; the others follow one after the other when it is missed.
+func (n *Node) checkDue(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	rank := min(n.peers.rank(now), maxCheckRank)
+	return n.director.Version() > 0 && now.Sub(n.checked) > checkInterval+time.Duration(rank)*checkStagger
+}
+
+func (n *Node) check() {
+	asked := time.Now()
+	object, err := n.config.Store.Get(n.ctx, n.config.ConfigKey)
+	if err != nil {
+		n.logStore("The configuration can't be read.", err)
+		n.sleep(jitter(retryLast))
+		return
+	}
+	n.takeConfig(object.Value, "check")
+	n.mu.Lock()
+	n.checked = asked
+	n.mu.Unlock()
+	n.sendDigests(n.allPeers(), true)
+}
+
 // takeConfig puts a newer configuration in force and tells the other balancers.
 func (n *Node) takeConfig(value []byte, source string) {
 	routes, err := n.config.Routes(value)
@@ -132,7 +177,7 @@
 		return
 	}
 	n.config.Log.Info("Configuration taken.", logs.Fields{"routes": len(routes.ByAddress), "source": source, "version": routes.Version})
-	n.sendDigests(n.allPeers())
+	n.sendDigests(n.allPeers(), false)
 }
 
 // runMembers joins the members, then reads them whenever the end of a flow has to be proved.
@@ -156,7 +201,7 @@
 		if err == nil {
 			n.takeMembers(members)
 			n.config.Log.Info("Joined.", logs.Fields{"members": len(members)})
-			n.sendDigests(n.allPeers())
+			n.sendDigests(n.allPeers(), false)
 			return
 		}
 		n.logStore("This balancer can't join.", err)
--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -48,6 +48,7 @@
 type Node struct {
 	config    Config
 	calls     *peer.Client
+	checked   time.Time // last time that a balancer is known to have read the configuration
 	clock     *clock.Service
 	ctx       context.Context
 	director  *carry.Director
@@ -55,7 +56,7 @@
 	drops     *logs.Limiter
 	front     *link.Socket
 	leaving   atomic.Bool
-	mu        sync.Mutex // guards director, peers, pulling and raw
+	mu        sync.Mutex // guards checked, director, peers, pulling and raw
 	peers     *peers
 	pulling   bool
 	raw       []byte // the configuration as it lies in the store
@@ -115,6 +116,7 @@
 	go n.runPeers()
 	go n.runTimers()
 	go n.runConfig()
+	go n.runCheck()
 	go n.runMembers()
 	n.config.Log.Info("Started.", logs.Fields{"address": n.config.Address.String()})
 	<-ctx.Done()
--- a/balancer/tuple/peers.go
+++ b/balancer/tuple/peers.go
@@ -66,6 +66,17 @@
 	return true
 }
 
+// rank returns the place of this balancer among the living ones.
+func (p *peers) rank(now time.Time) int {
+	rank := 0
+	for other, heard := range p.heard {
+		if now.Sub(heard) < peerSilence && other.Compare(p.self) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
 func duty(agent carry.Endpoint, balancer netip.AddrPort) uint64 {
 	return xxhash.Sum64String(agent.String() + balancer.String())
 }
--- a/balancer/tuple/sync.go
+++ b/balancer/tuple/sync.go
@@ -56,6 +56,9 @@
 	n.mu.Lock()
 	n.peers.hear(now, from)
 	ours := n.digest(true)
+	if theirs.Fresh && theirs.Version <= ours.Version {
+		n.checked = now
+	}
 	n.mu.Unlock()
 	behind := theirs.Version > ours.Version || theirs.Members != ours.Members
 	if behind {
@@ -117,11 +120,13 @@
 	return addresses
 }
 
-// sendDigests compares this balancer with the given ones.
-func (n *Node) sendDigests(to []netip.AddrPort) {
+// sendDigests compares this balancer with the given ones; fresh says that it has just read the configuration.
+func (n *Node) sendDigests(to []netip.AddrPort, fresh bool) {
 	n.mu.Lock()
-	message := n.digest(false).Append(nil)
+	digest := n.digest(false)
 	n.mu.Unlock()
+	digest.Fresh = fresh
+	message := digest.Append(nil)
 	for _, balancer := range to {
 		n.socket.Send(message, balancer)
 	}
--- a/lib/carry/message.go
+++ b/lib/carry/message.go
@@ -100,6 +100,7 @@
 
 // A Digest tells what the sender knows.
 type Digest struct {
+	Fresh   bool   // the sender has just read the version from the store
 	Members uint64 // hash of the known addresses
 	Reply   bool   // answers a digest
 	Version uint64 // of the configuration
@@ -114,6 +115,9 @@
 }
 
 const (
+	digestFresh = 2
+	digestReply = 1
+
 	forwardFull = 1
 	forwardLast = 2
 )
@@ -198,7 +202,7 @@
 
 // Append appends the message.
 func (d Digest) Append(dst []byte) []byte {
-	dst = append(dst, byte(KindDigest), flag(d.Reply, 1))
+	dst = append(dst, byte(KindDigest), flag(d.Reply, digestReply)|flag(d.Fresh, digestFresh))
 	dst = binary.BigEndian.AppendUint64(dst, d.Version)
 	return binary.BigEndian.AppendUint64(dst, d.Members)
 }
@@ -207,7 +211,8 @@
 func (d *Digest) Decode(message []byte) bool {
 	r := reader{rest: message}
 	r.byte()
-	d.Reply = r.byte() != 0
+	flags := r.byte()
+	d.Reply, d.Fresh = flags&digestReply != 0, flags&digestFresh != 0
 	d.Version = r.uint64()
 	d.Members = r.uint64()
 	return !r.failed
