--- /dev/null
+++ b/standin/tuple/packet.go
@@ -0,0 +1,90 @@
+package tuple
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The flag bits of a packet.
+const (
+	Ack     = 1
+	Syn     = 2
+	Fin     = 16
+	Reset   = 32
+	Bounced = 64
+)
+
+const (
+	headerSize = 31
+	echoAt     = 1
+	sumAt      = 5
+	lengthAt   = 9
+)
+
+// A Packet is one datagram of a flow.
+type Packet struct {
+	Ack   uint32
+	Data  []byte
+	Echo  uint32
+	Flags byte
+	From  netip.AddrPort
+	Seq   uint32
+	Sum   uint32
+	To    netip.AddrPort
+}
+
+// Encode returns the datagram with the sum of what its sender writes.
+func (p Packet) Encode() []byte {
+	b := make([]byte, headerSize, headerSize+len(p.Data))
+	b[0] = p.Flags
+	binary.LittleEndian.PutUint32(b[echoAt:], p.Echo)
+	binary.LittleEndian.PutUint16(b[lengthAt:], uint16(len(p.Data)))
+	binary.LittleEndian.PutUint32(b[11:], p.Seq)
+	binary.LittleEndian.PutUint32(b[15:], p.Ack)
+	putAddress(b[19:], p.To)
+	putAddress(b[25:], p.From)
+	b = append(b, p.Data...)
+	binary.LittleEndian.PutUint32(b[sumAt:], sum(b))
+	return b
+}
+
+// Decode reads a datagram and reports false when anything but its echo and its bounced flag differs from what its
+// sender wrote; a reset of the system's own has no sum.
+func Decode(b []byte) (Packet, bool) {
+	if len(b) < headerSize || int(binary.LittleEndian.Uint16(b[lengthAt:])) != len(b)-headerSize {
+		return Packet{}, false
+	}
+	p := Packet{
+		Ack:   binary.LittleEndian.Uint32(b[15:]),
+		Data:  append([]byte(nil), b[headerSize:]...),
+		Echo:  binary.LittleEndian.Uint32(b[echoAt:]),
+		Flags: b[0],
+		From:  getAddress(b[25:]),
+		Seq:   binary.LittleEndian.Uint32(b[11:]),
+		Sum:   binary.LittleEndian.Uint32(b[sumAt:]),
+		To:    getAddress(b[19:]),
+	}
+	own := p.Flags == Reset && p.Sum == 0 && len(p.Data) == 0
+	return p, own || p.Sum == sum(b)
+}
+
+// sum covers all fields but echo and the bounced flag, and is never zero.
+func sum(b []byte) uint32 {
+	hash := xxhash.New()
+	_, _ = hash.Write([]byte{b[0] &^ Bounced})
+	_, _ = hash.Write(b[lengthAt:])
+	return uint32(hash.Sum64()) | 1
+}
+
+func putAddress(b []byte, address netip.AddrPort) {
+	ip := address.Addr().As4()
+	b[0], b[1], b[2], b[3] = ip[3], ip[2], ip[1], ip[0]
+	binary.LittleEndian.PutUint16(b[4:], address.Port())
+}
+
+func getAddress(b []byte) netip.AddrPort {
+	ip := netip.AddrFrom4([4]byte{b[3], b[2], b[1], b[0]})
+	return netip.AddrPortFrom(ip, binary.LittleEndian.Uint16(b[4:]))
+}
