Run carried flows as processes on loopback

Cause: the carriage of flows that only a 4-tuple identifies had no test with real processes, and no demo.

Change: standin/tuple plays store, backend servers and callers; tests kill a balancer, restart every agent, drain and crash a backend server and take the store away; make demo CARRIAGE=tuple shows it.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,11 @@
 # The commands that developers and CI use.
 
+CARRIAGE ?= quic
 DEPLOYMENT ?= huber
 DURATION ?= 20s
 ROUNDS ?= 20
 SEED ?= 1
-MODULES := lib balancer agent cyclamendock standin
+MODULES := lib balancer agent cyclamendock platform standin
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 TOOLS := bin/tools
 
@@ -12,13 +13,17 @@
 
 build:
 	mkdir -p bin
-	go build -o bin/ ./balancer ./agent ./cyclamendock ./standin
+	go build -o bin/ ./balancer ./agent ./cyclamendock ./platform ./standin
 
 test: build
 	SEED=$(SEED) go test -count=1 -timeout 15m $(PACKAGES)
 
 demo: build
+ifeq ($(CARRIAGE),tuple)
+	./bin/standin flows --duration $(DURATION)
+else
 	./bin/standin demo --deployment $(DEPLOYMENT) --duration $(DURATION) --seed $(SEED)
+endif
 
 $(TOOLS): tools/go.mod
 	mkdir -p $(TOOLS)
--- a/agent/tuple/packets.go
+++ b/agent/tuple/packets.go
@@ -23,26 +23,26 @@
 }
 
 // do carries out a verdict about a datagram, which it may change.
-func (e *exit) do(now time.Time, verdict *carry.CarryVerdict, datagram []byte) {
+func (e *exit) do(now time.Time, verdict *carry.AgentVerdict, datagram []byte) {
 	n := e.node
 	if verdict.Datagram != nil {
 		datagram = verdict.Datagram
 	}
 	switch verdict.Action {
-	case carry.CarryDeliver:
+	case carry.AgentDeliver:
 		n.config.Codec.SetEcho(datagram, verdict.Echo)
 		if _, err := n.inlet.Write(datagram); err != nil {
 			n.refused(now, e, verdict.Echo, datagram, err)
 		}
-	case carry.CarryMessage:
+	case carry.AgentMessage:
 		n.config.Codec.ClearBounced(datagram)
 		n.config.Codec.SetEcho(datagram, 0)
 		verdict.Forward.Datagram = datagram
 		e.peers.Add(verdict.Forward.Append(e.peers.Buffer(), verdict.Kind), verdict.To.AddrPort())
-	case carry.CarryOwn:
+	case carry.AgentOwn:
 		owner := carry.Owner{Flow: verdict.Flow}
 		e.peers.Add(owner.Append(e.peers.Buffer()), verdict.To.AddrPort())
-	case carry.CarryReset:
+	case carry.AgentReset:
 		e.callers.Add(n.config.Codec.AppendReset(e.callers.Buffer(), verdict.Flow, verdict.Seq), n.caller(verdict.Flow.Caller))
 		n.logReset(now, verdict)
 	}
@@ -66,7 +66,7 @@
 	n.mu.Lock()
 	verdict := n.carrier.Refused(now, packet, echo)
 	n.mu.Unlock()
-	if verdict.Action != carry.CarryDeliver {
+	if verdict.Action != carry.AgentDeliver {
 		e.do(now, &verdict, datagram)
 	}
 }
@@ -186,7 +186,7 @@
 	}
 }
 
-func (n *Node) logReset(now time.Time, verdict *carry.CarryVerdict) {
+func (n *Node) logReset(now time.Time, verdict *carry.AgentVerdict) {
 	n.logLimited(now, "Flow reset.", logs.Fields{
 		"caller": verdict.Flow.Caller.String(),
 		"reason": string(verdict.Reason),
--- a/lib/carry/carrier.go
+++ b/lib/carry/carrier.go
@@ -21,25 +21,25 @@
 	waitLimit = 1200 * time.Millisecond
 )
 
-// A CarryAction tells an agent what to do with a packet.
-type CarryAction int
+// An AgentAction tells an agent what to do with a packet.
+type AgentAction int
 
 const (
-	// CarryNothing drops the packet.
-	CarryNothing CarryAction = iota
-	// CarryDeliver gives the packet to the backend server with the given echo.
-	CarryDeliver
-	// CarryMessage sends the message to another process.
-	CarryMessage
-	// CarryOwn tells a balancer that the flow is here.
-	CarryOwn
-	// CarryReset resets the flow.
-	CarryReset
+	// AgentNothing drops the packet.
+	AgentNothing AgentAction = iota
+	// AgentDeliver gives the packet to the backend server with the given echo.
+	AgentDeliver
+	// AgentMessage sends the message to another process.
+	AgentMessage
+	// AgentOwn tells a balancer that the flow is here.
+	AgentOwn
+	// AgentReset resets the flow.
+	AgentReset
 )
 
-// A CarryVerdict is the decision about one packet at an agent.
-type CarryVerdict struct {
-	Action   CarryAction
+// An AgentVerdict is the decision about one packet at an agent.
+type AgentVerdict struct {
+	Action   AgentAction
 	Datagram []byte // of a flow that has waited
 	Echo     uint32
 	Flow     Flow
@@ -105,7 +105,7 @@
 }
 
 // Forwarded decides about a packet that a balancer or another agent has sent.
-func (c *Carrier) Forwarded(now time.Time, f *Forward, p Packet) CarryVerdict {
+func (c *Carrier) Forwarded(now time.Time, f *Forward, p Packet) AgentVerdict {
 	c.balancers[f.Origin] = now
 	if f.Service != c.config.Service {
 		return c.pass(f, p)
@@ -119,11 +119,11 @@
 
 // Bounced decides about a packet that the backend server has returned. A flow that it has held before and holds
 // no longer has ended, since flows never move.
-func (c *Carrier) Bounced(now time.Time, p Packet) CarryVerdict {
+func (c *Carrier) Bounced(now time.Time, p Packet) AgentVerdict {
 	flow := p.FromCaller()
 	slot := &c.deliveries[p.Echo%deliveryCount]
 	if slot.echo != p.Echo || slot.forward.Origin == (Endpoint{}) {
-		return CarryVerdict{Flow: flow, Reason: ReasonNotHeld}
+		return AgentVerdict{Flow: flow, Reason: ReasonNotHeld}
 	}
 	f := slot.forward
 	*slot = delivery{}
@@ -131,7 +131,7 @@
 	if ok && !p.Opens() {
 		c.drop(flow, known)
 		if known.established {
-			return CarryVerdict{Action: CarryReset, Flow: flow, Reason: ReasonOwnerEnded, Seq: p.Ack}
+			return AgentVerdict{Action: AgentReset, Flow: flow, Reason: ReasonOwnerEnded, Seq: p.Ack}
 		}
 	}
 	if ok && p.Opens() && !known.established {
@@ -142,7 +142,7 @@
 }
 
 // Refused decides about a packet whose delivery failed because the backend server's port is closed.
-func (c *Carrier) Refused(now time.Time, p Packet, echo uint32) CarryVerdict {
+func (c *Carrier) Refused(now time.Time, p Packet, echo uint32) AgentVerdict {
 	p.Echo = echo
 	return c.Bounced(now, p)
 }
@@ -230,16 +230,15 @@
 }
 
 // open takes a new flow, passes it on, or lets it wait when the backend server is too busy.
-func (c *Carrier) open(now time.Time, f *Forward, p Packet) CarryVerdict {
+func (c *Carrier) open(now time.Time, f *Forward, p Packet) AgentVerdict {
 	if c.config.Server.State(now) != StateReady {
 		return c.pass(f, p)
 	}
 	flow := p.FromCaller()
 	if c.room.Has(flow) {
-		return CarryVerdict{Flow: flow, Reason: ReasonHeld}
+		return AgentVerdict{Flow: flow, Reason: ReasonHeld}
 	}
-	known, repeated := c.flows.Get(now, flow)
-	if repeated {
+	if _, repeated := c.flows.Get(now, flow); repeated {
 		return c.deliver(f, p)
 	}
 	if c.room.Len() > 0 || !c.load().meets(f.Aim) {
@@ -268,7 +267,7 @@
 
 // wait passes a new flow on while other agents are left to ask; then it lets the flow wait here if it can still be
 // served in time, or refuses it at once.
-func (c *Carrier) wait(now time.Time, f *Forward, p Packet) CarryVerdict {
+func (c *Carrier) wait(now time.Time, f *Forward, p Packet) AgentVerdict {
 	f.Full = true
 	if len(f.Next) > 0 {
 		return c.pass(f, p)
@@ -282,13 +281,13 @@
 		f.Last = true
 		return c.pass(f, p)
 	}
-	return CarryVerdict{Action: CarryOwn, Flow: p.FromCaller(), Reason: ReasonHeld, To: f.Origin}
+	return AgentVerdict{Action: AgentOwn, Flow: p.FromCaller(), Reason: ReasonHeld, To: f.Origin}
 }
 
 // Release returns the decisions about waiting flows that the backend server has room for now, or that have waited
 // too long.
-func (c *Carrier) Release(now time.Time) []CarryVerdict {
-	var verdicts []CarryVerdict
+func (c *Carrier) Release(now time.Time) []AgentVerdict {
+	var verdicts []AgentVerdict
 	for {
 		g, ok := c.room.peek()
 		if !ok || !c.load().meets(g.forward.Aim) {
@@ -355,7 +354,7 @@
 	known.until = now.Add(f.Timeout)
 }
 
-func (c *Carrier) deliver(f *Forward, p Packet) CarryVerdict {
+func (c *Carrier) deliver(f *Forward, p Packet) AgentVerdict {
 	c.nextEcho++
 	if c.nextEcho == 0 {
 		c.nextEcho++
@@ -363,12 +362,12 @@
 	kept := *f
 	kept.Datagram = nil
 	c.deliveries[c.nextEcho%deliveryCount] = delivery{echo: c.nextEcho, forward: kept}
-	return CarryVerdict{Action: CarryDeliver, Echo: c.nextEcho, Flow: p.FromCaller()}
+	return AgentVerdict{Action: AgentDeliver, Echo: c.nextEcho, Flow: p.FromCaller()}
 }
 
 // pass sends a packet to the next agent on its list, or back to its balancer when there is none.
-func (c *Carrier) pass(f *Forward, p Packet) CarryVerdict {
-	verdict := CarryVerdict{Action: CarryMessage, Flow: p.FromCaller(), Forward: *f, Kind: KindReturn, Reason: ReasonNotHeld, To: f.Origin}
+func (c *Carrier) pass(f *Forward, p Packet) AgentVerdict {
+	verdict := AgentVerdict{Action: AgentMessage, Flow: p.FromCaller(), Forward: *f, Kind: KindReturn, Reason: ReasonNotHeld, To: f.Origin}
 	verdict.Forward.Asked = append(slices.Clone(f.Asked), c.config.Self)
 	if len(f.Next) > 0 {
 		verdict.Kind = KindForward
--- a/lib/carry/carrier_test.go
+++ b/lib/carry/carrier_test.go
@@ -87,8 +87,8 @@
 	return Packet{Destination: flow.Service, Flags: flags, Length: length, Source: flow.Caller}
 }
 
-func (o *overload) act(now time.Time, verdict CarryVerdict) {
-	if verdict.Action == CarryDeliver {
+func (o *overload) act(now time.Time, verdict AgentVerdict) {
+	if verdict.Action == AgentDeliver {
 		o.requests[verdict.Flow] = now.Add(roundTrip)
 	}
 }
@@ -174,7 +174,7 @@
 	delivered := o.carrier.Forwarded(start, &f, o.packet(testFlow(1), FlagAck, 100))
 	stray := o.packet(testFlow(2), FlagAck|FlagBounced, 100)
 	stray.Echo = delivered.Echo + deliveryCount
-	g.Expect(o.carrier.Bounced(start, stray).Action).To(gomega.Equal(CarryNothing))
+	g.Expect(o.carrier.Bounced(start, stray).Action).To(gomega.Equal(AgentNothing))
 }
 
 func TestDrainingServerGetsNoNewFlowAndKeepsItsOwn(t *testing.T) {
@@ -186,9 +186,9 @@
 	f := o.forward(testFlow(1))
 	f.Next = []Endpoint{testEndpoint(2, 1)}
 	opened := o.carrier.Forwarded(start, &f, o.packet(testFlow(1), FlagSyn, 0))
-	g.Expect(opened.Action).To(gomega.Equal(CarryMessage))
+	g.Expect(opened.Action).To(gomega.Equal(AgentMessage))
 	g.Expect(opened.To).To(gomega.Equal(testEndpoint(2, 1)))
-	g.Expect(o.carrier.Forwarded(start, &f, o.packet(testFlow(2), FlagAck, 100)).Action).To(gomega.Equal(CarryDeliver))
+	g.Expect(o.carrier.Forwarded(start, &f, o.packet(testFlow(2), FlagAck, 100)).Action).To(gomega.Equal(AgentDeliver))
 }
 
 func TestFlowOfAnotherServiceIsNeverDelivered(t *testing.T) {
@@ -211,7 +211,7 @@
 		f := o.forward(testFlow(i))
 		f.Timeout = 500 * time.Millisecond
 		verdict := o.carrier.Forwarded(start, &f, o.packet(testFlow(i), FlagSyn, 0))
-		if verdict.Action == CarryMessage && verdict.Forward.Last {
+		if verdict.Action == AgentMessage && verdict.Forward.Last {
 			refused++
 		}
 	}
--- a/lib/carry/network_test.go
+++ b/lib/carry/network_test.go
@@ -226,15 +226,15 @@
 	n.direct(p.to, d.Returned(n.now, &forward, p.packet), p.packet)
 }
 
-func (n *testNetwork) act(a *testAgent, verdict CarryVerdict, packet Packet) {
+func (n *testNetwork) act(a *testAgent, verdict AgentVerdict, packet Packet) {
 	switch verdict.Action {
-	case CarryDeliver:
+	case AgentDeliver:
 		packet.Echo = verdict.Echo
 		n.deliver(a, packet)
-	case CarryMessage:
+	case AgentMessage:
 		packet.Echo = 0
 		n.post(testPacket{forward: verdict.Forward, from: a.address, kind: verdict.Kind, packet: packet, to: verdict.To})
-	case CarryReset:
+	case AgentReset:
 		n.reset(verdict.Flow, verdict.Reason)
 	}
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -15,6 +15,7 @@
 	Demo     demoCommand      `cmd:"" help:"Run a whole deployment under load and failures."`
 	Fabric   fabricCommand    `cmd:"" help:"Spray callers' datagrams over balancers."`
 	Flood    floodCommand     `cmd:"" help:"Measure what other work keeps in a flood."`
+	Flows    flowsCommand     `cmd:"" help:"Run flows that only a 4-tuple identifies, under failures."`
 	Idle     idleCommand      `cmd:"" help:"Print what idle processes use."`
 	Load     loadCommand      `cmd:"" help:"Make callers and judge what becomes of them."`
 	Measures measuresCommand  `cmd:"" help:"Print the tables of docs/MEASURES.md."`
--- a/standin/stage/stage.go
+++ b/standin/stage/stage.go
@@ -109,34 +109,34 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range l.processes {
-		p.signal(syscall.SIGCONT)
-		p.signal(syscall.SIGKILL)
+		p.Signal(syscall.SIGCONT)
+		p.Signal(syscall.SIGKILL)
 	}
 	for _, p := range l.processes {
-		p.waitEnd(endLimit)
+		p.WaitEnd(endLimit)
 	}
 }
 
 // Kill ends a process without warning.
 func (l *Stage) Kill(name string) {
-	l.find(name).signal(syscall.SIGKILL)
-	l.find(name).waitEnd(endLimit)
+	l.find(name).Signal(syscall.SIGKILL)
+	l.find(name).WaitEnd(endLimit)
 }
 
 // Pause freezes a process.
-func (l *Stage) Pause(name string) { l.find(name).signal(syscall.SIGSTOP) }
+func (l *Stage) Pause(name string) { l.find(name).Signal(syscall.SIGSTOP) }
 
 // Resume lets a frozen process go on.
-func (l *Stage) Resume(name string) { l.find(name).signal(syscall.SIGCONT) }
+func (l *Stage) Resume(name string) { l.find(name).Signal(syscall.SIGCONT) }
 
 // Terminate asks a process to end and reports whether it did within the limit.
 func (l *Stage) Terminate(name string, limit time.Duration) bool {
-	l.find(name).signal(syscall.SIGTERM)
-	return l.find(name).waitEnd(limit)
+	l.find(name).Signal(syscall.SIGTERM)
+	return l.find(name).WaitEnd(limit)
 }
 
 // Restart starts a process again that has ended.
-func (l *Stage) Restart(name string) error { return l.find(name).start() }
+func (l *Stage) Restart(name string) error { return l.find(name).Start() }
 
 // Patch applies operations to the version in force.
 func (l *Stage) Patch(ctx context.Context, id string, operations ...config.Operation) (config.Result, error) {
@@ -266,16 +266,16 @@
 
 // run starts a program of the deployment, after which it can be found by its name.
 func (l *Stage) run(name, program string, arguments ...string) error {
-	p := &Process{
-		arguments: arguments,
-		log:       filepath.Join(l.config.Dir, name+".log"),
-		name:      name,
-		program:   filepath.Join(l.config.Bin, program),
-	}
+	p := NewProcess(ProcessConfig{
+		Arguments: arguments,
+		Log:       filepath.Join(l.config.Dir, name+".log"),
+		Name:      name,
+		Program:   filepath.Join(l.config.Bin, program),
+	})
 	l.mu.Lock()
 	l.processes[name] = p
 	l.mu.Unlock()
-	return p.start()
+	return p.Start()
 }
 
 func (l *Stage) firstOperations() []config.Operation {
--- a/standin/stage/work_test.go
+++ b/standin/stage/work_test.go
@@ -54,7 +54,7 @@
 		gomega.Eventually(func() map[string]int { return newFeeds(l, "termine", 30) }, eventualLimit).
 			Should(gomega.HaveKey("termine-1"))
 		expectWhole(load.end())
-		gomega.Expect(l.find("termine-3").waitEnd(eventualLimit)).To(gomega.BeTrue(), "did not end after its last flow")
+		gomega.Expect(l.find("termine-3").WaitEnd(eventualLimit)).To(gomega.BeTrue(), "did not end after its last flow")
 	})
 
 	ginkgo.It("with SIGTERM on an idle agent and a balancer end them soon", func() {
--- /dev/null
+++ b/standin/tuple/stage_test.go
@@ -0,0 +1,146 @@
+package tuple
+
+import (
+	"fmt"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+const requestLimit = 5 * time.Second
+
+func startTestStage(t *testing.T, network byte) *Stage {
+	t.Helper()
+	program, err := filepath.Abs("../../bin/platform")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := NewStage(StageConfig{Agents: 4, Balancers: 3, Dir: t.TempDir(), Network: network, Program: program})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	return s
+}
+
+// openFlows opens flows and makes one request on each.
+func openFlows(g *gomega.WithT, s *Stage, name string, count int) []*Flow {
+	var flows []*Flow
+	for i := range count {
+		flow, err := s.Routers.Open(Route)
+		g.Expect(err).NotTo(gomega.HaveOccurred(), "flow %d", i)
+		g.Expect(flow.Get(fmt.Sprintf("%s-%d", name, i), 3000, requestLimit)).To(gomega.Succeed())
+		flows = append(flows, flow)
+	}
+	return flows
+}
+
+// getAll makes a request on each flow at once and returns the errors.
+func getAll(flows []*Flow, name string, size int) []error {
+	errs := make([]error, len(flows))
+	var wait sync.WaitGroup
+	for i, flow := range flows {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			errs[i] = flow.Get(fmt.Sprintf("%s-%d", name, i), size, requestLimit)
+		}()
+	}
+	wait.Wait()
+	return errs
+}
+
+func checkBackends(g *gomega.WithT, s *Stage) {
+	for _, backend := range s.Backends {
+		_, wrong := backend.Totals()
+		g.Expect(wrong).To(gomega.BeZero())
+		backend.mu.Lock()
+		for id, runs := range backend.Runs {
+			g.Expect(runs).To(gomega.Equal(1), id)
+		}
+		backend.mu.Unlock()
+	}
+}
+
+func TestFlowsSurviveADeadBalancerAndRestartedAgents(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startTestStage(t, 101)
+	flows := openFlows(g, s, "open1", 20)
+	s.Process("balancer-0").Signal(syscall.SIGKILL)
+	s.Routers.Remove(s.Balancer(0))
+	for _, err := range getAll(flows, "killed", 40_000) {
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	for i := range s.Backends {
+		agent := s.Process(fmt.Sprintf("agent-%d", i))
+		agent.Signal(syscall.SIGTERM)
+		g.Expect(agent.WaitEnd(requestLimit)).To(gomega.BeTrue())
+		g.Expect(agent.Start()).To(gomega.Succeed())
+	}
+	for _, err := range getAll(flows, "restarted", 3000) {
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	checkBackends(g, s)
+}
+
+func TestDrainingServerKeepsItsFlowsAndGetsNoOther(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startTestStage(t, 102)
+	flows := openFlows(g, s, "open2", 20)
+	drained := s.Backends[0]
+	drained.Drain()
+	time.Sleep(2 * announceInterval)
+	runs, _ := drained.Totals()
+	openFlows(g, s, "open3", 12)
+	after, _ := drained.Totals()
+	g.Expect(after).To(gomega.Equal(runs))
+	for _, err := range getAll(flows, "drained", 3000) {
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	checkBackends(g, s)
+}
+
+func TestFlowsOfACrashedServerAreResetAndTheOthersLive(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startTestStage(t, 103)
+	flows := openFlows(g, s, "open4", 20)
+	crashed := s.Backends[0]
+	lost := crashed.Flows()
+	g.Expect(lost).To(gomega.BeNumerically(">", 0))
+	close(crashed.stop)
+	_ = crashed.conn.Close()
+	again, err := NewBackend(crashed.config)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.Backends[0] = again
+	resets := 0
+	for _, err := range getAll(flows, "crashed", 3000) {
+		if err == nil {
+			continue
+		}
+		g.Expect(err).To(gomega.MatchError(ErrReset))
+		resets++
+	}
+	g.Expect(resets).To(gomega.Equal(lost))
+	openFlows(g, s, "open5", 10)
+}
+
+func TestFlowsAreCarriedWhileTheStoreIsDown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startTestStage(t, 104)
+	flows := openFlows(g, s, "open6", 10)
+	s.Objects.SetMood(Mood{Status: 503})
+	balancer := s.Process("balancer-1")
+	balancer.Signal(syscall.SIGKILL)
+	g.Expect(balancer.WaitEnd(requestLimit)).To(gomega.BeTrue())
+	g.Expect(balancer.Start()).To(gomega.Succeed()) // learns configuration and agents from the others
+	for _, err := range getAll(flows, "outage", 3000) {
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	g.Eventually(func() error { return s.waitReady() }, requestLimit).Should(gomega.Succeed())
+	openFlows(g, s, "open7", 10)
+	checkBackends(g, s)
+}
