Log each request's end with its ID, serve metrics, reload settings

Change: an agent reads a request's ID from the packet that begins it and logs how the request ended; balancers log placements with their inputs; ordinary lines are sampled, all are bounded and written behind a queue that drops and counts. Metrics are served at metricsAddress. SIGHUP or a changed file is taken up (seeds); bad settings leave the old ones in force.

A stalled standard output delays nothing (test with full pipes).

--- a/agent/tuple/control.go
+++ b/agent/tuple/control.go
@@ -58,7 +58,9 @@
 	now := time.Now()
 	n.mu.Lock()
 	released := n.carrier.Release(now)
+	ended := n.carrier.TakeEnded()
 	n.mu.Unlock()
+	n.observe(now, ended)
 	for i := range released {
 		out.do(now, &released[i], nil)
 	}
--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamendock/cyclamendock/lib/link"
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/member"
+	"github.com/cyclamendock/cyclamendock/lib/stats"
 	"github.com/cyclamendock/cyclamendock/lib/store"
 	"github.com/cyclamendock/cyclamendock/lib/trust"
 )
@@ -39,6 +40,7 @@
 	Outlet       netip.AddrPort   // to which the backend server sends its packets
 	Seeds        []netip.AddrPort // balancers to report to before the members are known
 	Service      string
+	Stats        *stats.Server
 	Store        store.Store
 	Trust        *trust.List
 	Zone         string
@@ -54,6 +56,7 @@
 	directory *member.Directory
 	inlet     *net.UDPConn
 	limiter   *logs.Limiter
+	meter     *meter
 	mu        sync.Mutex // guards carrier and server
 	outlet    *link.Socket
 	rejoin    chan struct{}
@@ -82,12 +85,17 @@
 		directory: member.NewDirectory(config.Store, member.Member{Address: config.Address, Role: member.RoleAgent}),
 		rejoin:    make(chan struct{}, 1),
 		limiter:   logs.NewLimiter(packetLines),
+		meter:     newMeter(config.Stats),
 		server:    server,
 		stop:      stop,
 	}
+	n.registerGauges(config.Stats)
 	return n, n.open()
 }
 
+// AddSeeds reports to balancers that the settings have named since.
+func (n *Node) AddSeeds(seeds []netip.AddrPort) { n.greet(seeds) }
+
 func (n *Node) open() error {
 	var err error
 	if n.socket, err = link.Listen(n.config.Address); err != nil {
--- a/agent/tuple/packets.go
+++ b/agent/tuple/packets.go
@@ -37,6 +37,7 @@
 	case carry.AgentMessage:
 		n.config.Codec.ClearBounced(datagram)
 		n.config.Codec.SetEcho(datagram, 0)
+		n.meter.passed.Inc()
 		verdict.Forward.Datagram = datagram
 		e.peers.Add(verdict.Forward.Append(e.peers.Buffer(), verdict.Kind), verdict.To.AddrPort())
 	case carry.AgentOwn:
@@ -44,6 +45,7 @@
 		e.peers.Add(owner.Append(e.peers.Buffer()), verdict.To.AddrPort())
 	case carry.AgentReset:
 		e.callers.Add(n.config.Codec.AppendReset(e.callers.Buffer(), verdict.Flow, verdict.Seq), n.caller(verdict.Flow.Caller))
+		n.meter.resets.Inc()
 		n.logReset(now, verdict)
 	}
 }
@@ -188,9 +190,10 @@
 
 func (n *Node) logReset(now time.Time, verdict *carry.AgentVerdict) {
 	n.logLimited(now, "Flow reset.", logs.Fields{
-		"caller": verdict.Flow.Caller.String(),
-		"reason": string(verdict.Reason),
-		"route":  verdict.Flow.Service.String(),
+		"caller":  verdict.Flow.Caller.String(),
+		"reason":  string(verdict.Reason),
+		"request": verdict.Request,
+		"route":   verdict.Flow.Service.String(),
 	})
 }
 
--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -13,6 +13,7 @@
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/member"
 	"github.com/cyclamendock/cyclamendock/lib/peer"
+	"github.com/cyclamendock/cyclamendock/lib/stats"
 	"github.com/cyclamendock/cyclamendock/lib/store"
 	"github.com/cyclamendock/cyclamendock/lib/trust"
 )
@@ -22,8 +23,6 @@
 	peerBatch       = 32 // datagrams
 	timerBatch      = 8  // datagrams
 	timerResolution = 10 * time.Millisecond
-	// packetLines is how many lines about packets are logged each second.
-	packetLines = 20
 )
 
 // A Config holds what a Node needs.
@@ -39,6 +38,7 @@
 	First        bool          // no process has run before
 	Routes       func(value []byte) (carry.Routes, error)
 	Seeds        []netip.AddrPort // processes that may know the members
+	Stats        *stats.Server
 	Store        store.Store
 	Trust        *trust.List
 	Zone         string
@@ -53,14 +53,13 @@
 	ctx       context.Context
 	director  *carry.Director
 	directory *member.Directory
-	drops     *logs.Limiter
 	front     *link.Socket
 	leaving   atomic.Bool
+	meter     *meter
 	mu        sync.Mutex // guards checked, director, peers, pulling and raw
 	peers     *peers
 	pulling   bool
 	raw       []byte // the configuration as it lies in the store
-	resets    *logs.Limiter
 	server    *peer.Server
 	socket    *link.Socket
 	stop      context.CancelFunc
@@ -83,15 +82,25 @@
 			Zone:         carry.ServiceIDOf(config.Zone),
 		}),
 		directory: member.NewDirectory(config.Store, member.Member{Address: config.Address, Role: member.RoleBalancer}),
-		drops:     logs.NewLimiter(packetLines),
+		meter:     newMeter(config.Stats),
 		peers:     newPeers(config.Address, config.Seeds),
-		resets:    logs.NewLimiter(packetLines),
 		stop:      stop,
 		wakeList:  make(chan struct{}, 1),
 	}
+	n.registerGauges(config.Stats)
 	return n, n.open()
 }
 
+// AddSeeds makes balancers known that the settings have named since.
+func (n *Node) AddSeeds(seeds []netip.AddrPort) {
+	n.mu.Lock()
+	for _, seed := range seeds {
+		n.peers.add(seed)
+	}
+	n.mu.Unlock()
+	n.sendDigests(seeds, false)
+}
+
 func (n *Node) open() error {
 	var err error
 	if n.front, err = link.Listen(n.config.Front); err != nil {
--- a/balancer/tuple/packets.go
+++ b/balancer/tuple/packets.go
@@ -32,6 +32,10 @@
 		for _, agent := range verdict.To {
 			o.peers.Add(verdict.Forward.Append(o.peers.Buffer(), carry.KindForward), agent.AddrPort())
 		}
+		o.node.meter.carried.Inc()
+		if verdict.Opens {
+			o.node.logPlaced(now, verdict)
+		}
 		return
 	case carry.ActReset:
 		caller := netip.AddrPortFrom(netip.AddrFrom4(verdict.Flow.Caller.IP), o.node.config.CallerPort)
@@ -47,25 +51,6 @@
 	o.callers.Flush()
 }
 
-// logVerdict logs every packet that was not carried, within bounds.
-func (n *Node) logVerdict(now time.Time, verdict *carry.Verdict) {
-	limiter, text := n.drops, "Packet not carried."
-	if verdict.Action == carry.ActReset {
-		limiter, text = n.resets, "Flow reset."
-	}
-	suppressed, ok := limiter.Allow(now)
-	if !ok {
-		return
-	}
-	n.config.Log.Info(text, logs.Fields{
-		"caller":     verdict.Flow.Caller.String(),
-		"config":     n.version(),
-		"reason":     string(verdict.Reason),
-		"route":      verdict.Flow.Service.String(),
-		"suppressed": suppressed,
-	})
-}
-
 // runFront carries callers' packets until the socket closes.
 func (n *Node) runFront() {
 	reader := link.NewReaderSize(n.front, frontBatch)
@@ -185,7 +170,7 @@
 }
 
 func (n *Node) logMalformed(now time.Time, what string) {
-	if suppressed, ok := n.drops.Allow(now); ok {
+	if suppressed, ok := n.meter.drops.Allow(now); ok {
 		n.config.Log.Warn("Ignored "+what+".", logs.Fields{"suppressed": suppressed})
 	}
 }
--- a/lib/carry/agents.go
+++ b/lib/carry/agents.go
@@ -209,6 +209,15 @@
 	return known.report.State
 }
 
+// Load returns the last report of an agent and its age.
+func (a *Agents) Load(now time.Time, address Endpoint) (Report, time.Duration) {
+	known := a.byAddress[address]
+	if known == nil {
+		return Report{}, 0
+	}
+	return known.report, now.Sub(known.heard)
+}
+
 // Addresses returns all known addresses in order.
 func (a *Agents) Addresses() []Endpoint {
 	all := make([]Endpoint, 0, len(a.byAddress))
--- a/lib/carry/carrier.go
+++ b/lib/carry/carrier.go
@@ -46,6 +46,7 @@
 	Forward  Forward // without its datagram
 	Kind     MessageKind
 	Reason   Reason
+	Request  string // ID of the request that the flow had in progress, when it could be read
 	Seq      uint32
 	To       Endpoint
 }
@@ -74,18 +75,47 @@
 	ahead       int    // requests in progress when this one came, itself included
 	balancer    Endpoint
 	busy        bool
-	established bool // the backend server has gone on after its handshake
-	requested   bool // the request in progress has come; else only the flow that will bring it
+	established bool   // the backend server has gone on after its handshake
+	request     string // ID of the request in progress, when it could be read
+	requested   bool   // the request in progress has come; else only the flow that will bring it
 	since       time.Time
 	until       time.Time // when the caller of the request in progress has given up
 }
 
+// An Ending tells how a request ended for the agent.
+type Ending string
+
+// The endings of requests.
+const (
+	// EndingAbandoned means that the caller closed its flow before an answer.
+	EndingAbandoned Ending = "abandoned"
+	// EndingAnswered means that the response has begun.
+	EndingAnswered Ending = "answered"
+	// EndingLost means that the backend server ended before an answer.
+	EndingLost Ending = "lost"
+	// EndingTimedOut means that the request's timeout passed before an answer.
+	EndingTimedOut Ending = "timedOut"
+)
+
+// An Ended is a request that is no longer in progress.
+type Ended struct {
+	Ahead  int // requests in progress when it came, itself included
+	Ending Ending
+	Flow   Flow
+	ID     string // empty when it could not be read
+	Took   time.Duration
+}
+
+// endedCapacity is how many ended requests are kept until they are taken.
+const endedCapacity = 256
+
 // A Carrier decides for one agent what happens to packets of flows.
 type Carrier struct {
 	balancers  map[Endpoint]time.Time // last message of each
 	busy       int
 	config     CarrierConfig
 	deliveries []delivery
+	ended      []Ended
 	flows      *Cache[Flow, *held]
 	nextEcho   uint32
 	pace       time.Duration // mean work of a request; zero when none has ended
@@ -129,9 +159,10 @@
 	*slot = delivery{}
 	known, ok := c.flows.Get(now, flow)
 	if ok && !p.Opens() {
+		c.end(now, flow, known, EndingLost)
 		c.drop(flow, known)
 		if known.established {
-			return AgentVerdict{Action: AgentReset, Flow: flow, Reason: ReasonOwnerEnded, Seq: p.Ack}
+			return AgentVerdict{Action: AgentReset, Flow: flow, Reason: ReasonOwnerEnded, Request: known.request, Seq: p.Ack}
 		}
 	}
 	if ok && p.Opens() && !known.established {
@@ -162,7 +193,7 @@
 		}
 	}
 	if p.Length > 0 && known.busy && known.requested {
-		c.finish(now, known)
+		c.finish(now, flow, known)
 	}
 	if !p.Flags.Has(FlagSyn) {
 		known.established = true
@@ -219,9 +250,11 @@
 func (c *Carrier) Sweep(now time.Time) {
 	c.flows.Sweep(now)
 	c.busy = 0
-	c.flows.Each(func(_ Flow, known *held) {
+	c.flows.Each(func(flow Flow, known *held) {
 		if known.busy && now.After(known.until) {
+			c.end(now, flow, known, EndingTimedOut)
 			known.busy = false
+			known.requested = false
 		}
 		if known.busy {
 			c.busy++
@@ -338,7 +371,8 @@
 		known.balancer = f.Origin
 	}
 	if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
-		c.idle(known) // the caller waits for nothing more
+		c.end(now, p.FromCaller(), known, EndingAbandoned) // the caller waits for nothing more
+		c.idle(known)
 		return
 	}
 	if p.Length == 0 {
@@ -348,6 +382,7 @@
 		c.begin(now, known)
 	}
 	if !known.requested {
+		known.request = p.Request
 		known.requested = true
 		known.since = now
 	}
@@ -386,6 +421,21 @@
 	known.until = now.Add(openingLimit)
 }
 
+// end keeps how a request ended until TakeEnded.
+func (c *Carrier) end(now time.Time, flow Flow, known *held, ending Ending) {
+	if !known.busy || !known.requested || len(c.ended) == endedCapacity {
+		return
+	}
+	c.ended = append(c.ended, Ended{Ahead: known.ahead, Ending: ending, Flow: flow, ID: known.request, Took: now.Sub(known.since)})
+}
+
+// TakeEnded returns the requests that have ended since it was last called.
+func (c *Carrier) TakeEnded() []Ended {
+	ended := c.ended
+	c.ended = nil
+	return ended
+}
+
 // idle records that a flow has no request in progress.
 func (c *Carrier) idle(known *held) {
 	if known.busy {
@@ -396,7 +446,8 @@
 }
 
 // finish records that the response to a request has begun.
-func (c *Carrier) finish(now time.Time, known *held) {
+func (c *Carrier) finish(now time.Time, flow Flow, known *held) {
+	c.end(now, flow, known, EndingAnswered)
 	c.idle(known)
 	work := now.Sub(known.since)
 	if slots := c.config.Server.Slots(); known.ahead > slots {
--- a/lib/carry/director.go
+++ b/lib/carry/director.go
@@ -48,7 +48,9 @@
 	Action  Action
 	Flow    Flow
 	Forward Forward
+	Opens   bool // the packet asks for a new flow
 	Reason  Reason
+	Request string // ID of the request in the packet, when it could be read
 	Seq     uint32 // of the reset
 	To      []Endpoint
 }
@@ -83,8 +85,9 @@
 
 // An ending is a flow that no known agent holds.
 type ending struct {
-	seq   uint32
-	since time.Time
+	request string
+	seq     uint32
+	since   time.Time
 }
 
 type waiting struct {
@@ -225,7 +228,7 @@
 		if d.mayBeHeld(now, flow, known.no) {
 			continue
 		}
-		verdicts = append(verdicts, Verdict{Action: ActReset, Flow: flow, Reason: ReasonOwnerEnded, Seq: end.seq})
+		verdicts = append(verdicts, Verdict{Action: ActReset, Flow: flow, Reason: ReasonOwnerEnded, Request: end.request, Seq: end.seq})
 	}
 	slices.SortFunc(verdicts, func(a, b Verdict) int { return a.Flow.Compare(b.Flow) })
 	return verdicts
@@ -300,6 +303,9 @@
 	return flows
 }
 
+// Waiting returns the number of new flows that wait for an agent.
+func (d *Director) Waiting() int { return len(d.waits) }
+
 // Sweep forgets what has expired.
 func (d *Director) Sweep(now time.Time) {
 	d.hints.Sweep(now)
@@ -444,12 +450,12 @@
 func (d *Director) prove(now time.Time, p Packet, known *search) Verdict {
 	flow := p.FromCaller()
 	if len(known.no) == 0 || p.Flags.Has(FlagReset) {
-		return Verdict{Flow: flow, Reason: ReasonNoAgent}
+		return Verdict{Flow: flow, Reason: ReasonNoAgent, Request: p.Request}
 	}
 	if _, asked := d.proofs[flow]; !asked && len(d.proofs) < searchCapacity {
-		d.proofs[flow] = ending{seq: p.Ack, since: now}
+		d.proofs[flow] = ending{request: p.Request, seq: p.Ack, since: now}
 	}
-	return Verdict{Action: ActProve, Flow: flow, Reason: ReasonProving}
+	return Verdict{Action: ActProve, Flow: flow, Reason: ReasonProving, Request: p.Request}
 }
 
 func (d *Director) forward(now time.Time, route Route, p Packet, service ServiceID, to, next []Endpoint) Verdict {
@@ -459,6 +465,7 @@
 	return Verdict{
 		Action: ActForward,
 		Flow:   p.FromCaller(),
+		Opens:  p.Opens(),
 		Forward: Forward{
 			Aim:     route.Aim,
 			Next:    next,
@@ -472,5 +479,5 @@
 }
 
 func reset(p Packet, reason Reason) Verdict {
-	return Verdict{Action: ActReset, Flow: p.FromCaller(), Reason: reason, Seq: p.Ack}
+	return Verdict{Action: ActReset, Flow: p.FromCaller(), Reason: reason, Request: p.Request, Seq: p.Ack}
 }
--- a/lib/carry/packet.go
+++ b/lib/carry/packet.go
@@ -21,7 +21,8 @@
 	Destination Endpoint
 	Echo        uint32 // opaque to the two ends; the agent's position in its table of deliveries
 	Flags       Flags
-	Length      int // of the data, in bytes
+	Length      int    // of the data, in bytes
+	Request     string // ID of the request that begins in the data, when it can be read
 	Seq         uint32
 	Source      Endpoint
 }
--- a/lib/logs/queue.go
+++ b/lib/logs/queue.go
@@ -4,14 +4,17 @@
 	"bytes"
 	"fmt"
 	"io"
-	"sync"
+	"time"
 
 	"github.com/cyclamendock/cyclamendock/lib/ring"
 )
 
+// closeLimit is how long the end of a process waits for its last lines.
+const closeLimit = 300 * time.Millisecond
+
 // A Queue is a writer that never blocks: what its target does not take in time is dropped and counted.
 type Queue struct {
-	done   sync.WaitGroup
+	done   chan struct{}
 	lines  *ring.Ring[[]byte]
 	target io.Writer
 	told   uint64 // drops that were written about
@@ -19,8 +22,7 @@
 
 // NewQueue returns a running queue of up to capacity lines before a target.
 func NewQueue(target io.Writer, capacity int) *Queue {
-	q := &Queue{lines: ring.New[[]byte](capacity), target: target}
-	q.done.Add(1)
+	q := &Queue{done: make(chan struct{}), lines: ring.New[[]byte](capacity), target: target}
 	go q.run()
 	return q
 }
@@ -34,14 +36,17 @@
 // Dropped returns the number of lines that were dropped.
 func (q *Queue) Dropped() uint64 { return q.lines.Dropped() }
 
-// Close writes what is queued and ends the queue; it blocks while the target does.
+// Close writes what is queued and ends the queue; it waits only a short time for a target that blocks.
 func (q *Queue) Close() {
 	q.lines.Close()
-	q.done.Wait()
+	select {
+	case <-q.done:
+	case <-time.After(closeLimit):
+	}
 }
 
 func (q *Queue) run() {
-	defer q.done.Done()
+	defer close(q.done)
 	for {
 		line, ok := q.lines.Pop()
 		if !ok {
--- /dev/null
+++ b/lib/logs/queue_test.go
@@ -0,0 +1,53 @@
+package logs
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// A stalledWriter takes nothing until it is released.
+type stalledWriter struct {
+	buffer  bytes.Buffer
+	release chan struct{}
+}
+
+func (w *stalledWriter) Write(b []byte) (int, error) {
+	<-w.release
+	return w.buffer.Write(b)
+}
+
+func TestQueueNeverBlocksAndCountsWhatItDrops(t *testing.T) {
+	g := gomega.NewWithT(t)
+	target := &stalledWriter{release: make(chan struct{})}
+	queue := NewQueue(target, 4)
+	started := time.Now()
+	for range 1000 {
+		_, err := queue.Write([]byte("line\n"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	g.Expect(queue.Dropped()).To(gomega.BeNumerically(">=", 995))
+	queue.Close()
+	g.Expect(time.Since(started)).To(gomega.BeNumerically("<", 10*closeLimit))
+	close(target.release)
+	<-queue.done
+	g.Expect(target.buffer.String()).To(gomega.ContainSubstring("Lines were dropped."))
+}
+
+func TestLimiterBoundsLinesAndTellsHowManyItSuppressed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	limiter := NewLimiter(2)
+	now := time.Unix(0, 0)
+	passed := 0
+	for range 10 {
+		if _, ok := limiter.Allow(now); ok {
+			passed++
+		}
+	}
+	g.Expect(passed).To(gomega.Equal(2))
+	suppressed, ok := limiter.Allow(now.Add(time.Second))
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(suppressed).To(gomega.Equal(8))
+}
--- a/standin/tuple/stage.go
+++ b/standin/tuple/stage.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,6 +19,7 @@
 	announcePort = 8166
 	innerPort    = 7700
 	inletPort    = 8165
+	metricsPort  = 9464
 	outletPort   = 8162
 	packetPort   = 8172
 	readyPort    = 8167
@@ -67,6 +69,24 @@
 	return netip.AddrPortFrom(s.host(1, i), packetPort)
 }
 
+// Metrics returns the metrics that a process serves, by name.
+func (s *Stage) Metrics(name string) (string, error) {
+	group, i := byte(2), 0
+	if _, err := fmt.Sscanf(name, "agent-%d", &i); err != nil {
+		group = 1
+		if _, err := fmt.Sscanf(name, "balancer-%d", &i); err != nil {
+			return "", err
+		}
+	}
+	response, err := http.Get("http://" + netip.AddrPortFrom(s.host(group, i), metricsPort).String() + "/metrics")
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
 // Process returns the process of a balancer or an agent by name, such as balancer-0.
 func (s *Stage) Process(name string) *stage.Process { return s.processes[name] }
 
@@ -156,8 +176,8 @@
 		"availabilityZone": fmt.Sprintf("zone-%d", i%3),
 		"callerAddress":    netip.AddrPortFrom(host, packetPort).String(),
 		"firstStart":       true,
+		"metricsAddress":   netip.AddrPortFrom(host, metricsPort).String(),
 		"name":             name,
-		"portRange":        []int{innerPort, innerPort + 5},
 		"readyAddress":     netip.AddrPortFrom(host, readyPort).String(),
 		"seeds":            []string{netip.AddrPortFrom(s.host(1, 0), announcePort).String()},
 		"storeAddress":     netip.AddrPortFrom(s.host(0, 0), storePort).String(),
--- a/standin/tuple/stage_test.go
+++ b/standin/tuple/stage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -144,3 +145,66 @@
 	openFlows(g, s, "open7", 10)
 	checkBackends(g, s)
 }
+
+func TestProcessesServeMetricsAndOutliveAHangup(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startTestStage(t, 105)
+	openFlows(g, s, "open", 5)
+	for _, name := range []string{"balancer-0", "agent-0"} {
+		s.Process(name).Signal(syscall.SIGHUP)
+		g.Expect(s.Process(name).WaitEnd(500*time.Millisecond)).To(gomega.BeFalse(), name)
+		log := func() string {
+			content, _ := os.ReadFile(filepath.Join(s.config.Dir, name+".log"))
+			return string(content)
+		}
+		g.Eventually(log, requestLimit).Should(gomega.ContainSubstring("Settings read again."))
+	}
+	served, err := s.Metrics("balancer-0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(served).To(gomega.ContainSubstring("cyclamendock_balancer_agents 4"))
+	served, err = s.Metrics("agent-0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(served).To(gomega.ContainSubstring(`cyclamendock_agent_requests_total{ending="answered"}`))
+}
+
+func TestStalledOutputDelaysNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startTestStage(t, 106)
+	flows := openFlows(g, s, "before", 5)
+	// A pipe that nobody reads takes the place of each log.
+	for name := range s.processes {
+		s.processes[name].Kill(endLimit)
+	}
+	for name, process := range s.processes {
+		fifo := filepath.Join(s.config.Dir, name+".log")
+		g.Expect(os.Remove(fifo)).To(gomega.Succeed())
+		g.Expect(syscall.Mkfifo(fifo, 0o600)).To(gomega.Succeed())
+		reader, err := os.OpenFile(fifo, os.O_RDWR, 0)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer reader.Close()
+		fill(g, reader)
+		g.Expect(process.Start()).To(gomega.Succeed())
+	}
+	g.Expect(s.waitReady()).To(gomega.Succeed())
+	started := time.Now()
+	for _, err := range getAll(flows, "stalled", 3000) {
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	openFlows(g, s, "after", 20)
+	g.Expect(time.Since(started)).To(gomega.BeNumerically("<", requestLimit))
+}
+
+// fill writes to a pipe until it takes no more.
+func fill(g *gomega.WithT, pipe *os.File) {
+	raw, err := pipe.SyscallConn()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	block := make([]byte, 4096)
+	g.Expect(raw.Control(func(fd uintptr) {
+		_ = syscall.SetNonblock(int(fd), true)
+		for {
+			if _, err := syscall.Write(int(fd), block); err != nil {
+				break
+			}
+		}
+	})).To(gomega.Succeed())
+}
