Let balancers confirm the members to each other before they end flows

Cause: after a power loss each balancer read the members from the store every 100 ms until the last flow had ended, and flows waited for that.

Change: up to 16 living balancers are asked whether they know the same members; a balancer that gave an agent a flow knows that agent. The store is read when one does not answer in 40 ms or there are more.

--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -21,6 +21,8 @@
 	holdLimit = 1200 * time.Millisecond
 	// leaveLinger covers the routers' two missed checks, half a second apart.
 	leaveLinger = 1600 * time.Millisecond
+	// agreePause is the least pause between two questions about the members to other balancers.
+	agreePause = 10 * time.Millisecond
 	// listPause is the least pause between two reads of the members.
 	listPause = 100 * time.Millisecond
 	// retryFirst and retryLast bound the pause before the store is called again.
@@ -180,14 +182,13 @@
 	n.sendDigests(n.allPeers(), false)
 }
 
-// runMembers joins the members, then reads them whenever the end of a flow has to be proved.
+// runMembers joins the members, then confirms them whenever the end of a flow has to be proved.
 func (n *Node) runMembers() {
 	n.join()
 	for {
 		select {
 		case <-n.wakeList:
-			n.readMembers()
-			n.sleep(listPause)
+			n.endFlows()
 		case <-n.ctx.Done():
 			return
 		}
@@ -201,7 +202,7 @@
 		if err == nil {
 			n.takeMembers(members)
 			n.config.Log.Info("Joined.", logs.Fields{"members": len(members)})
-			n.sendDigests(n.allPeers(), false)
+			n.greetPeers()
 			return
 		}
 		n.logStore("This balancer can't join.", err)
@@ -210,17 +211,21 @@
 	}
 }
 
-// readMembers reads the members and ends the flows that none of them can hold.
-func (n *Node) readMembers() {
-	asked := time.Now()
-	members, err := n.directory.List(n.ctx)
-	if err != nil {
-		n.logStore("The members can't be read.", err)
-		n.sleep(retryFirst)
-		n.askForList()
-		return
+// endFlows ends the flows that no member can hold, as far as the other balancers or the store confirm the members.
+func (n *Node) endFlows() {
+	asked, pause := time.Now(), agreePause
+	if !n.agreeOnMembers(asked) {
+		asked = time.Now()
+		members, err := n.directory.List(n.ctx)
+		if err != nil {
+			n.logStore("The members can't be read.", err)
+			n.sleep(retryFirst)
+			n.askForList()
+			return
+		}
+		n.takeMembers(members)
+		pause = listPause
 	}
-	n.takeMembers(members)
 	out := n.newOutlet(timerBatch)
 	now := time.Now()
 	n.mu.Lock()
@@ -234,6 +239,7 @@
 	if more {
 		n.askForList()
 	}
+	n.sleep(pause)
 }
 
 // takeMembers adds listed members and asks agents that are missing from the list to join again.
--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -58,6 +58,7 @@
 	meter     *meter
 	mu        sync.Mutex // guards checked, director, peers, pulling and raw
 	peers     *peers
+	poll      poll
 	pulling   bool
 	raw       []byte // the configuration as it lies in the store
 	server    *peer.Server
--- a/balancer/tuple/peers.go
+++ b/balancer/tuple/peers.go
@@ -16,7 +16,8 @@
 	digestInterval = time.Second
 	// digestFanout is how many balancers it compares with each time.
 	digestFanout = 3
-	// peerSilence is how long a balancer may be silent before others act in its place.
+	// peerSilence is how long a balancer may be silent before others act in its place. Each is heard about once in
+	// digestInterval as long as there are few.
 	peerSilence = 10 * time.Second
 )
 
@@ -66,6 +67,17 @@
 	return true
 }
 
+// living returns the balancers that are heard.
+func (p *peers) living(now time.Time) []netip.AddrPort {
+	var living []netip.AddrPort
+	for other, heard := range p.heard {
+		if now.Sub(heard) < peerSilence {
+			living = append(living, other)
+		}
+	}
+	return living
+}
+
 // rank returns the place of this balancer among the living ones.
 func (p *peers) rank(now time.Time) int {
 	rank := 0
--- a/balancer/tuple/sync.go
+++ b/balancer/tuple/sync.go
@@ -65,7 +65,10 @@
 		go n.runPull(from)
 	}
 	ahead := ours.Version > theirs.Version || theirs.Members != ours.Members
-	if ahead && !theirs.Reply {
+	if theirs.Reply && theirs.Members == ours.Members {
+		n.poll.agree(from)
+	}
+	if (ahead || theirs.Ask) && !theirs.Reply {
 		n.socket.Send(ours.Append(nil), from)
 	}
 	return true
@@ -132,6 +135,17 @@
 	}
 }
 
+// greetPeers makes every known balancer answer, so that this one soon knows which of them live.
+func (n *Node) greetPeers() {
+	n.mu.Lock()
+	digest := n.digest(false)
+	n.mu.Unlock()
+	digest.Ask = true
+	for _, balancer := range n.allPeers() {
+		n.socket.Send(digest.Append(nil), balancer)
+	}
+}
+
 // allPeers returns every known balancer.
 func (n *Node) allPeers() []netip.AddrPort {
 	n.mu.Lock()
--- a/lib/carry/message.go
+++ b/lib/carry/message.go
@@ -100,6 +100,7 @@
 
 // A Digest tells what the sender knows.
 type Digest struct {
+	Ask     bool   // an answer is wanted also when nothing differs
 	Fresh   bool   // the sender has just read the version from the store
 	Members uint64 // hash of the known addresses
 	Reply   bool   // answers a digest
@@ -115,6 +116,7 @@
 }
 
 const (
+	digestAsk   = 4
 	digestFresh = 2
 	digestReply = 1
 
@@ -202,7 +204,7 @@
 
 // Append appends the message.
 func (d Digest) Append(dst []byte) []byte {
-	dst = append(dst, byte(KindDigest), flag(d.Reply, digestReply)|flag(d.Fresh, digestFresh))
+	dst = append(dst, byte(KindDigest), flag(d.Ask, digestAsk)|flag(d.Reply, digestReply)|flag(d.Fresh, digestFresh))
 	dst = binary.BigEndian.AppendUint64(dst, d.Version)
 	return binary.BigEndian.AppendUint64(dst, d.Members)
 }
@@ -212,7 +214,7 @@
 	r := reader{rest: message}
 	r.byte()
 	flags := r.byte()
-	d.Reply, d.Fresh = flags&digestReply != 0, flags&digestFresh != 0
+	d.Ask, d.Reply, d.Fresh = flags&digestAsk != 0, flags&digestReply != 0, flags&digestFresh != 0
 	d.Version = r.uint64()
 	d.Members = r.uint64()
 	return !r.failed
