Count packets of a search and repeated requests as no work

Cause: each agent that a search passed counted the flow as a request in progress until it was returned, and a repeated request after its answer counted until its timeout; the logs told of hundreds of lost requests that were only searches.

Change: data of a flow that the agent has not seen its backend server hold counts as no work, nor does data that was answered.

--- a/lib/carry/carrier.go
+++ b/lib/carry/carrier.go
@@ -71,13 +71,14 @@
 
 // held is a flow that the backend server holds or may hold.
 type held struct {
-	ack         uint32 // the last one of the caller
-	ahead       int    // requests in progress when this one came, itself included
+	ahead       int // requests in progress when this one came, itself included
 	balancer    Endpoint
 	busy        bool
 	established bool   // the backend server has gone on after its handshake
+	next        uint32 // sequence number behind the caller's data so far
 	request     string // ID of the request in progress, when it could be read
 	requested   bool   // the request in progress has come; else only the flow that will bring it
+	sent        bool   // the caller has sent data
 	since       time.Time
 	until       time.Time // when the caller of the request in progress has given up
 }
@@ -187,7 +188,7 @@
 		if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
 			return Endpoint{}, false
 		}
-		known = &held{since: now}
+		known = &held{}
 		if !c.flows.Put(now, flow, known) {
 			return Endpoint{}, false
 		}
@@ -355,28 +356,23 @@
 
 // follow records a packet of an open flow on its way to the backend server.
 func (c *Carrier) follow(now time.Time, f *Forward, p Packet) {
-	known, ok := c.flows.Get(now, p.FromCaller())
+	flow := p.FromCaller()
+	known, ok := c.flows.Get(now, flow)
 	if !ok {
-		if p.Length == 0 {
-			return
-		}
-		// The agent may have restarted; whether the flow is here shows in what the backend server does.
-		known = &held{since: now}
-		if !c.flows.Put(now, p.FromCaller(), known) {
-			return
-		}
+		c.suppose(now, f, p)
+		return
 	}
-	known.ack = p.Ack
 	if len(f.Asked) > 0 || len(f.Next) > 0 {
 		known.balancer = f.Origin
 	}
 	if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
-		c.end(now, p.FromCaller(), known, EndingAbandoned) // the caller waits for nothing more
+		c.end(now, flow, known, EndingAbandoned) // the caller waits for nothing more
 		c.idle(known)
 		return
 	}
-	if p.Length == 0 {
-		return
+	end := p.Seq + uint32(p.Length)
+	if p.Length == 0 || !known.busy && known.sent && int32(end-known.next) <= 0 {
+		return // no data, or data of a request that has been answered
 	}
 	if !known.busy {
 		c.begin(now, known)
@@ -386,9 +382,21 @@
 		known.requested = true
 		known.since = now
 	}
+	if !known.sent || int32(end-known.next) > 0 {
+		known.next = end
+	}
+	known.sent = true
 	known.until = now.Add(f.Timeout)
 }
 
+// suppose remembers who sent data of a flow that this agent does not know. The agent may have restarted; whether the
+// flow is here shows in what the backend server does, and until then it counts as no work.
+func (c *Carrier) suppose(now time.Time, f *Forward, p Packet) {
+	if p.Length > 0 {
+		c.flows.Put(now, p.FromCaller(), &held{balancer: f.Origin})
+	}
+}
+
 func (c *Carrier) deliver(f *Forward, p Packet) AgentVerdict {
 	c.nextEcho++
 	if c.nextEcho == 0 {
--- a/lib/carry/carrier_test.go
+++ b/lib/carry/carrier_test.go
@@ -132,6 +132,11 @@
 	return float64(met) / float64(all)
 }
 
+// known makes the agent see that the backend server holds a flow.
+func (o *overload) known(now time.Time, flow Flow) {
+	o.carrier.FromServer(now, Packet{Destination: flow.Caller, Flags: FlagAck, Source: flow.Service})
+}
+
 func TestCallersThatComeAfterAPowerLossAreServedInTime(t *testing.T) {
 	g := gomega.NewWithT(t)
 	start := time.Unix(0, 0)
@@ -157,6 +162,7 @@
 	o := newOverload(start, 2)
 	f := o.forward(testFlow(1))
 	for i := range 50 {
+		o.known(start, testFlow(i))
 		o.carrier.Forwarded(start, &f, o.packet(testFlow(i), FlagAck, 100))
 	}
 	g.Expect(o.carrier.Busy()).To(gomega.Equal(50))
@@ -166,6 +172,26 @@
 	g.Expect(o.carrier.Busy()).To(gomega.BeZero())
 }
 
+func TestPacketsOfASearchAndRepeatedRequestsCountAsNoWork(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := time.Unix(0, 0)
+	o := newOverload(start, 2)
+	f := o.forward(testFlow(1))
+	o.carrier.Forwarded(start, &f, o.packet(testFlow(1), FlagAck, 100)) // may be held by another
+	g.Expect(o.carrier.Busy()).To(gomega.BeZero())
+	o.known(start, testFlow(2))
+	request := o.packet(testFlow(2), FlagAck, 100)
+	o.carrier.Forwarded(start, &f, request)
+	g.Expect(o.carrier.Busy()).To(gomega.Equal(1))
+	reply := Packet{Destination: testFlow(2).Caller, Flags: FlagAck, Length: 100, Source: testFlow(2).Service}
+	o.carrier.FromServer(start, reply)
+	o.carrier.Forwarded(start, &f, request)
+	g.Expect(o.carrier.Busy()).To(gomega.BeZero())
+	request.Seq += 100
+	o.carrier.Forwarded(start, &f, request)
+	g.Expect(o.carrier.Busy()).To(gomega.Equal(1))
+}
+
 func TestReturnedPacketOfAnEarlierProcessIsDropped(t *testing.T) {
 	g := gomega.NewWithT(t)
 	start := time.Unix(0, 0)
