Count no work before the backend server has shown that it holds a flow

Change: a flow that is only supposed stays so until its backend server answers in it.

Measured: the test that now sends two packets failed before.

--- a/lib/carry/carrier.go
+++ b/lib/carry/carrier.go
@@ -80,6 +80,7 @@
 	requested   bool   // the request in progress has come; else only the flow that will bring it
 	sent        bool   // the caller has sent data
 	since       time.Time
+	supposed    bool      // nothing has shown yet that the backend server holds it
 	until       time.Time // when the caller of the request in progress has given up
 }
 
@@ -193,6 +194,7 @@
 			return Endpoint{}, false
 		}
 	}
+	known.supposed = false
 	if p.Length > 0 && known.busy && known.requested {
 		c.finish(now, flow, known)
 	}
@@ -358,7 +360,7 @@
 func (c *Carrier) follow(now time.Time, f *Forward, p Packet) {
 	flow := p.FromCaller()
 	known, ok := c.flows.Get(now, flow)
-	if !ok {
+	if !ok || known.supposed {
 		c.suppose(now, f, p)
 		return
 	}
@@ -393,7 +395,7 @@
 // flow is here shows in what the backend server does, and until then it counts as no work.
 func (c *Carrier) suppose(now time.Time, f *Forward, p Packet) {
 	if p.Length > 0 {
-		c.flows.Put(now, p.FromCaller(), &held{balancer: f.Origin})
+		c.flows.Put(now, p.FromCaller(), &held{balancer: f.Origin, supposed: true})
 	}
 }
 
--- a/lib/carry/carrier_test.go
+++ b/lib/carry/carrier_test.go
@@ -177,7 +177,9 @@
 	start := time.Unix(0, 0)
 	o := newOverload(start, 2)
 	f := o.forward(testFlow(1))
-	o.carrier.Forwarded(start, &f, o.packet(testFlow(1), FlagAck, 100)) // may be held by another
+	for range 2 { // the flow may be held by another
+		o.carrier.Forwarded(start, &f, o.packet(testFlow(1), FlagAck, 100))
+	}
 	g.Expect(o.carrier.Busy()).To(gomega.BeZero())
 	o.known(start, testFlow(2))
 	request := o.packet(testFlow(2), FlagAck, 100)
