--- a/agent/tuple/control.go
+++ b/agent/tuple/control.go
@@ -1,13 +1,13 @@
 package tuple
 
 import (
-	"math/rand/v2"
 	"net/netip"
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/lib/carry"
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/member"
+	"github.com/cyclamendock/cyclamendock/lib/port"
 )
 
 const (
@@ -18,17 +18,14 @@
 	leaveTimeout = time.Second
 	// reportInterval is how often balancers that send packets hear of this agent.
 	reportInterval = 100 * time.Millisecond
-	// retryFirst and retryLast bound the pause before the store is called again.
-	retryFirst    = 100 * time.Millisecond
-	retryLast     = 1500 * time.Millisecond
-	sweepInterval = 200 * time.Millisecond
-	tickInterval  = 20 * time.Millisecond
-	timerBatch    = 8 // datagrams
+	sweepInterval  = 200 * time.Millisecond
+	tickInterval   = 20 * time.Millisecond
+	timerBatch     = 8 // datagrams
 )
 
 // runTimers does what is due by time.
 func (n *Node) runTimers() {
-	out := n.newExit(1, timerBatch)
+	out := n.newOutlet(1, timerBatch)
 	reports := n.clock.Subscribe(reportInterval)
 	ticks := n.clock.Subscribe(tickInterval)
 	sweeps := n.clock.Subscribe(sweepInterval)
@@ -54,7 +51,7 @@
 }
 
 // release lets waiting flows in, or refuses those that have waited too long.
-func (n *Node) release(out *exit) {
+func (n *Node) release(out *port.Outlet) {
 	now := time.Now()
 	n.mu.Lock()
 	released := n.carrier.Release(now)
@@ -62,21 +59,21 @@
 	n.mu.Unlock()
 	n.observe(now, ended)
 	for i := range released {
-		out.do(now, &released[i], nil)
+		n.do(now, out, &released[i], nil)
 	}
-	out.flush()
+	out.Flush()
 }
 
-func (n *Node) report(out *exit, changed bool) {
+func (n *Node) report(out *port.Outlet, changed bool) {
 	now := time.Now()
 	n.mu.Lock()
 	report := n.carrier.Report(now)
 	balancers := n.carrier.Balancers(now, changed)
 	n.mu.Unlock()
 	for _, balancer := range balancers {
-		out.peers.Add(report.Append(out.peers.Buffer()), balancer.AddrPort())
+		out.Message(report.Append, balancer)
 	}
-	out.flush()
+	out.Flush()
 }
 
 // runMembers joins the members and reports to the balancers among them, again whenever a balancer misses this agent.
@@ -85,7 +82,7 @@
 	for n.ctx.Err() == nil {
 		n.join(first)
 		first = false
-		n.sleep(joinPause)
+		port.Sleep(n.ctx, joinPause)
 		select {
 		case <-n.rejoin:
 		case <-n.ctx.Done():
@@ -94,21 +91,17 @@
 }
 
 func (n *Node) join(first bool) {
-	n.greet(n.config.Seeds)
-	pause := retryFirst
-	for n.ctx.Err() == nil {
+	port.Retry(n.ctx, func() error {
+		n.greet(n.config.Seeds)
 		members, err := n.directory.Join(n.ctx, first)
-		if err == nil {
-			n.takeMembers(members)
-			return
+		if err != nil {
+			return err
 		}
-		if n.ctx.Err() == nil {
-			n.config.Log.Warn("This agent can't join.", logs.Fields{"error": err.Error()})
-		}
-		n.sleep(time.Duration((0.5 + rand.Float64()) * float64(pause)))
-		pause = min(2*pause, retryLast)
-		n.greet(n.config.Seeds)
-	}
+		n.takeMembers(members)
+		return nil
+	}, func(err error) {
+		n.config.Log.Warn("This agent can't join.", logs.Fields{"error": err.Error()})
+	})
 }
 
 func (n *Node) takeMembers(members []member.Member) {
@@ -132,12 +125,3 @@
 	n.mu.Unlock()
 	n.reportSoon()
 }
-
-func (n *Node) sleep(pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-n.ctx.Done():
-	}
-}
--- a/agent/tuple/packets.go
+++ b/agent/tuple/packets.go
@@ -9,22 +9,11 @@
 	"github.com/cyclamendock/cyclamendock/lib/carry"
 	"github.com/cyclamendock/cyclamendock/lib/link"
 	"github.com/cyclamendock/cyclamendock/lib/logs"
+	"github.com/cyclamendock/cyclamendock/lib/port"
 )
 
-// An exit is one goroutine's way to processes and callers.
-type exit struct {
-	callers *link.Writer
-	node    *Node
-	peers   *link.Writer
-}
-
-func (n *Node) newExit(callers, peers int) *exit {
-	return &exit{callers: link.NewWriterSize(n.outlet, callers), node: n, peers: link.NewWriterSize(n.socket, peers)}
-}
-
 // do carries out a verdict about a datagram, which it may change.
-func (e *exit) do(now time.Time, verdict *carry.AgentVerdict, datagram []byte) {
-	n := e.node
+func (n *Node) do(now time.Time, out *port.Outlet, verdict *carry.AgentVerdict, datagram []byte) {
 	if verdict.Datagram != nil {
 		datagram = verdict.Datagram
 	}
@@ -32,31 +21,37 @@
 	case carry.AgentDeliver:
 		n.config.Codec.SetEcho(datagram, verdict.Echo)
 		if _, err := n.inlet.Write(datagram); err != nil {
-			n.refused(now, e, verdict.Echo, datagram, err)
+			n.refused(now, out, verdict.Echo, datagram, err)
 		}
 	case carry.AgentMessage:
+		n.meter.passed.Inc()
 		n.config.Codec.ClearBounced(datagram)
 		n.config.Codec.SetEcho(datagram, 0)
-		n.meter.passed.Inc()
 		verdict.Forward.Datagram = datagram
-		e.peers.Add(verdict.Forward.Append(e.peers.Buffer(), verdict.Kind), verdict.To.AddrPort())
+		out.Forward(&verdict.Forward, verdict.Kind, verdict.To)
 	case carry.AgentOwn:
-		owner := carry.Owner{Flow: verdict.Flow}
-		e.peers.Add(owner.Append(e.peers.Buffer()), verdict.To.AddrPort())
+		out.Message(carry.Owner{Flow: verdict.Flow}.Append, verdict.To)
 	case carry.AgentReset:
-		e.callers.Add(n.config.Codec.AppendReset(e.callers.Buffer(), verdict.Flow, verdict.Seq), n.caller(verdict.Flow.Caller))
+		out.Reset(verdict.Flow, verdict.Seq)
 		n.meter.resets.Inc()
 		n.logReset(now, verdict)
 	}
 }
 
-func (e *exit) flush() {
-	e.peers.Flush()
-	e.callers.Flush()
+// newOutlet returns an outlet for one goroutine that queues up to the given numbers of datagrams.
+func (n *Node) newOutlet(callers, peers int) *port.Outlet {
+	return port.NewOutlet(port.OutletConfig{
+		CallerBatch:  callers,
+		CallerPort:   n.config.CallerPort,
+		CallerSocket: n.outlet,
+		Codec:        n.config.Codec,
+		PeerBatch:    peers,
+		PeerSocket:   n.socket,
+	})
 }
 
 // refused tries the next agent when the backend server's port is closed.
-func (n *Node) refused(now time.Time, e *exit, echo uint32, datagram []byte, err error) {
+func (n *Node) refused(now time.Time, out *port.Outlet, echo uint32, datagram []byte, err error) {
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		n.logLimited(now, "A packet can't be delivered.", logs.Fields{"error": err.Error()})
 		return
@@ -69,33 +64,17 @@
 	verdict := n.carrier.Refused(now, packet, echo)
 	n.mu.Unlock()
 	if verdict.Action != carry.AgentDeliver {
-		e.do(now, &verdict, datagram)
+		n.do(now, out, &verdict, datagram)
 	}
 }
 
-func (n *Node) caller(endpoint carry.Endpoint) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4(endpoint.IP), n.config.CallerPort)
-}
-
 // runSocket handles messages of other processes until the socket closes.
 func (n *Node) runSocket() {
-	reader := link.NewReaderSize(n.socket, readBatch)
-	out := n.newExit(timerBatch, writeBatch)
-	for {
-		count, err := reader.Read()
-		if err != nil {
-			n.logClosed("processes", err)
-			return
-		}
-		now := time.Now()
-		for i := range count {
-			n.handle(now, out, reader.Datagram(i), reader.From(i))
-		}
-		out.flush()
-	}
+	inlet := port.Inlet{Batch: readBatch, Handle: n.handle, Outlet: n.newOutlet(timerBatch, writeBatch), Socket: n.socket}
+	n.logClosed("processes", inlet.Loop())
 }
 
-func (n *Node) handle(now time.Time, out *exit, message []byte, from netip.AddrPort) {
+func (n *Node) handle(now time.Time, out *port.Outlet, message []byte, from netip.AddrPort) {
 	if !n.config.Trust.Allows(from.Addr()) {
 		n.logLimited(now, "Ignored a message of an untrusted address.", logs.Fields{"from": from.String()})
 		return
@@ -108,7 +87,7 @@
 		n.carrier.Greeted(now, carry.EndpointOf(from))
 		report := n.carrier.Report(now)
 		n.mu.Unlock()
-		out.peers.Add(report.Append(out.peers.Buffer()), from)
+		out.Message(report.Append, carry.EndpointOf(from))
 	case carry.KindJoin:
 		n.joinSoon()
 	default:
@@ -116,7 +95,7 @@
 	}
 }
 
-func (n *Node) handleForward(now time.Time, out *exit, message []byte) {
+func (n *Node) handleForward(now time.Time, out *port.Outlet, message []byte) {
 	var f carry.Forward
 	if !f.Decode(message) {
 		n.logLimited(now, "Ignored a malformed message.", nil)
@@ -130,28 +109,16 @@
 	n.mu.Lock()
 	verdict := n.carrier.Forwarded(now, &f, packet)
 	n.mu.Unlock()
-	out.do(now, &verdict, f.Datagram)
+	n.do(now, out, &verdict, f.Datagram)
 }
 
 // runOutlet carries the backend server's packets to callers until the socket closes.
 func (n *Node) runOutlet() {
-	reader := link.NewReaderSize(n.outlet, readBatch)
-	out := n.newExit(writeBatch, timerBatch)
-	for {
-		count, err := reader.Read()
-		if err != nil {
-			n.logClosed("the backend server", err)
-			return
-		}
-		now := time.Now()
-		for i := range count {
-			n.handleServer(now, out, reader.Datagram(i), reader.From(i))
-		}
-		out.flush()
-	}
+	inlet := port.Inlet{Batch: readBatch, Handle: n.handleServer, Outlet: n.newOutlet(writeBatch, timerBatch), Socket: n.outlet}
+	n.logClosed("the backend server", inlet.Loop())
 }
 
-func (n *Node) handleServer(now time.Time, out *exit, datagram []byte, from netip.AddrPort) {
+func (n *Node) handleServer(now time.Time, out *port.Outlet, datagram []byte, from netip.AddrPort) {
 	packet, ok := n.config.Codec.Decode(datagram)
 	if !ok {
 		n.logLimited(now, "Ignored a malformed packet.", logs.Fields{"from": from.String()})
@@ -161,20 +128,19 @@
 		n.mu.Lock()
 		verdict := n.carrier.Bounced(now, packet)
 		n.mu.Unlock()
-		out.do(now, &verdict, datagram)
+		n.do(now, out, &verdict, datagram)
 		return
 	}
 	n.mu.Lock()
 	balancer, tell := n.carrier.FromServer(now, packet)
 	released := n.carrier.Release(now)
 	n.mu.Unlock()
-	out.callers.Add(append(out.callers.Buffer(), datagram...), n.caller(packet.Destination))
+	out.Caller(datagram, packet.Destination)
 	if tell {
-		owner := carry.Owner{Flow: packet.FromServer()}
-		out.peers.Add(owner.Append(out.peers.Buffer()), balancer.AddrPort())
+		out.Message(carry.Owner{Flow: packet.FromServer()}.Append, balancer)
 	}
 	for i := range released {
-		out.do(now, &released[i], nil)
+		n.do(now, out, &released[i], nil)
 	}
 }
 
--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -1,13 +1,13 @@
 package tuple
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/lib/carry"
 	"github.com/cyclamendock/cyclamendock/lib/fault"
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/member"
+	"github.com/cyclamendock/cyclamendock/lib/port"
 )
 
 const (
@@ -24,10 +24,7 @@
 	// agreePause is the least pause between two questions about the members to other balancers.
 	agreePause = 10 * time.Millisecond
 	// listPause is the least pause between two reads of the members.
-	listPause = 100 * time.Millisecond
-	// retryFirst and retryLast bound the pause before the store is called again.
-	retryFirst    = 100 * time.Millisecond
-	retryLast     = 1500 * time.Millisecond
+	listPause     = 100 * time.Millisecond
 	tickInterval  = 10 * time.Millisecond
 	sweepInterval = time.Second
 	// watchPause gathers changes that come in quick succession.
@@ -86,39 +83,39 @@
 	}
 }
 
-func (n *Node) tick(out *outlet) {
+func (n *Node) tick(out *port.Outlet) {
 	now := time.Now()
 	n.mu.Lock()
 	verdicts := n.director.Tick(now)
 	greet := n.director.Agents.Greet(now)
 	n.mu.Unlock()
 	for i := range verdicts {
-		out.do(now, &verdicts[i], verdicts[i].Forward.Datagram)
+		n.do(now, out, &verdicts[i], verdicts[i].Forward.Datagram)
 	}
 	for _, agent := range greet {
-		out.peers.Add(carry.AppendHello(out.peers.Buffer()), agent.AddrPort())
+		out.Message(carry.AppendHello, agent)
 	}
-	out.flush()
+	out.Flush()
 }
 
 // runConfig follows the configuration in the store.
 func (n *Node) runConfig() {
-	pause := retryFirst
+	pause := port.RetryFirst
 	var version uint64
 	for n.ctx.Err() == nil {
 		object, err := n.config.Store.Watch(n.ctx, n.config.ConfigKey, version)
 		switch {
 		case err == nil:
-			pause = retryFirst
+			pause = port.RetryFirst
 			version = object.Version
 			n.takeConfig(object.Value, "store")
-			n.sleep(watchPause)
+			port.Sleep(n.ctx, watchPause)
 		case fault.Is(err, fault.Missing):
-			pause = retryFirst
+			pause = port.RetryFirst
 		default:
 			n.logStore("The configuration can't be followed.", err)
-			n.sleep(jitter(pause))
-			pause = min(2*pause, retryLast)
+			port.Sleep(n.ctx, port.Jitter(pause))
+			pause = min(2*pause, port.RetryLast)
 		}
 	}
 }
@@ -152,7 +149,7 @@
 	object, err := n.config.Store.Get(n.ctx, n.config.ConfigKey)
 	if err != nil {
 		n.logStore("The configuration can't be read.", err)
-		n.sleep(jitter(retryLast))
+		port.Sleep(n.ctx, port.Jitter(port.RetryLast))
 		return
 	}
 	n.takeConfig(object.Value, "check")
@@ -196,19 +193,16 @@
 }
 
 func (n *Node) join() {
-	pause := retryFirst
-	for n.ctx.Err() == nil {
+	port.Retry(n.ctx, func() error {
 		members, err := n.directory.Join(n.ctx, n.config.First)
-		if err == nil {
-			n.takeMembers(members)
-			n.config.Log.Info("Joined.", logs.Fields{"members": len(members)})
-			n.greetPeers()
-			return
+		if err != nil {
+			return err
 		}
-		n.logStore("This balancer can't join.", err)
-		n.sleep(jitter(pause))
-		pause = min(2*pause, retryLast)
-	}
+		n.takeMembers(members)
+		n.config.Log.Info("Joined.", logs.Fields{"members": len(members)})
+		n.greetPeers()
+		return nil
+	}, func(err error) { n.logStore("This balancer can't join.", err) })
 }
 
 // endFlows ends the flows that no member can hold, as far as the other balancers or the store confirm the members.
@@ -219,7 +213,7 @@
 		members, err := n.directory.List(n.ctx)
 		if err != nil {
 			n.logStore("The members can't be read.", err)
-			n.sleep(retryFirst)
+			port.Sleep(n.ctx, port.RetryFirst)
 			n.askForList()
 			return
 		}
@@ -233,13 +227,13 @@
 	more := n.director.Proving()
 	n.mu.Unlock()
 	for i := range verdicts {
-		out.do(now, &verdicts[i], nil)
+		n.do(now, out, &verdicts[i], nil)
 	}
-	out.flush()
+	out.Flush()
 	if more {
 		n.askForList()
 	}
-	n.sleep(pause)
+	port.Sleep(n.ctx, pause)
 }
 
 // takeMembers adds listed members and asks agents that are missing from the list to join again.
@@ -272,22 +266,8 @@
 	}
 }
 
-func (n *Node) sleep(pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-n.ctx.Done():
-	}
-}
-
 func (n *Node) logStore(text string, err error) {
 	if n.ctx.Err() == nil {
 		n.config.Log.Warn(text, logs.Fields{"error": err.Error()})
 	}
 }
-
-// jitter spreads a pause over half to one and a half of it, so that processes don't call in step.
-func jitter(pause time.Duration) time.Duration {
-	return time.Duration((0.5 + rand.Float64()) * float64(pause))
-}
--- a/balancer/tuple/packets.go
+++ b/balancer/tuple/packets.go
@@ -5,71 +5,56 @@
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/lib/carry"
-	"github.com/cyclamendock/cyclamendock/lib/link"
 	"github.com/cyclamendock/cyclamendock/lib/logs"
+	"github.com/cyclamendock/cyclamendock/lib/port"
 )
 
-// An outlet is one goroutine's way to agents, balancers and callers.
-type outlet struct {
-	callers *link.Writer
-	node    *Node
-	peers   *link.Writer
-}
-
-func (n *Node) newOutlet(batch int) *outlet {
-	return &outlet{
-		callers: link.NewWriterSize(n.front, timerBatch),
-		node:    n,
-		peers:   link.NewWriterSize(n.socket, batch),
-	}
-}
-
 // do carries out a verdict about a datagram.
-func (o *outlet) do(now time.Time, verdict *carry.Verdict, datagram []byte) {
+func (n *Node) do(now time.Time, out *port.Outlet, verdict *carry.Verdict, datagram []byte) {
 	switch verdict.Action {
 	case carry.ActForward:
 		verdict.Forward.Datagram = datagram
 		for _, agent := range verdict.To {
-			o.peers.Add(verdict.Forward.Append(o.peers.Buffer(), carry.KindForward), agent.AddrPort())
+			out.Forward(&verdict.Forward, carry.KindForward, agent)
 		}
-		o.node.meter.carried.Inc()
+		n.meter.carried.Inc()
 		if verdict.Opens {
-			o.node.logPlaced(now, verdict)
+			n.logPlaced(now, verdict)
 		}
 		return
 	case carry.ActReset:
-		caller := netip.AddrPortFrom(netip.AddrFrom4(verdict.Flow.Caller.IP), o.node.config.CallerPort)
-		o.callers.Add(o.node.config.Codec.AppendReset(o.callers.Buffer(), verdict.Flow, verdict.Seq), caller)
+		out.Reset(verdict.Flow, verdict.Seq)
 	case carry.ActProve:
-		o.node.askForList()
+		n.askForList()
 	}
-	o.node.logVerdict(now, verdict)
+	n.logVerdict(now, verdict)
 }
 
-func (o *outlet) flush() {
-	o.peers.Flush()
-	o.callers.Flush()
+// newOutlet returns an outlet for one goroutine that queues up to batch messages.
+func (n *Node) newOutlet(batch int) *port.Outlet {
+	return port.NewOutlet(port.OutletConfig{
+		CallerBatch:  timerBatch,
+		CallerPort:   n.config.CallerPort,
+		CallerSocket: n.front,
+		Codec:        n.config.Codec,
+		PeerBatch:    batch,
+		PeerSocket:   n.socket,
+	})
 }
 
 // runFront carries callers' packets until the socket closes.
 func (n *Node) runFront() {
-	reader := link.NewReaderSize(n.front, frontBatch)
-	out := n.newOutlet(frontBatch)
-	for {
-		count, err := reader.Read()
-		if err != nil {
-			n.logClosed("callers", err)
-			return
-		}
-		now := time.Now()
-		for i := range count {
-			n.carry(now, out, reader.Datagram(i))
-		}
-		out.flush()
-	}
+	inlet := port.Inlet{Batch: frontBatch, Handle: n.carry, Outlet: n.newOutlet(frontBatch), Socket: n.front}
+	n.logClosed("callers", inlet.Loop())
 }
 
-func (n *Node) carry(now time.Time, out *outlet, datagram []byte) {
+// runPeers handles messages of agents and balancers until the socket closes.
+func (n *Node) runPeers() {
+	inlet := port.Inlet{Batch: peerBatch, Handle: n.handle, Outlet: n.newOutlet(peerBatch), Socket: n.socket}
+	n.logClosed("processes", inlet.Loop())
+}
+
+func (n *Node) carry(now time.Time, out *port.Outlet, datagram []byte, _ netip.AddrPort) {
 	packet, ok := n.config.Codec.Decode(datagram)
 	if !ok {
 		n.logMalformed(now, "a caller's packet")
@@ -78,28 +63,10 @@
 	n.mu.Lock()
 	verdict := n.director.Packet(now, packet, datagram)
 	n.mu.Unlock()
-	out.do(now, &verdict, datagram)
-}
-
-// runPeers handles messages of agents and balancers until the socket closes.
-func (n *Node) runPeers() {
-	reader := link.NewReaderSize(n.socket, peerBatch)
-	out := n.newOutlet(peerBatch)
-	for {
-		count, err := reader.Read()
-		if err != nil {
-			n.logClosed("processes", err)
-			return
-		}
-		now := time.Now()
-		for i := range count {
-			n.handle(now, out, reader.Datagram(i), reader.From(i))
-		}
-		out.flush()
-	}
+	n.do(now, out, &verdict, datagram)
 }
 
-func (n *Node) handle(now time.Time, out *outlet, message []byte, from netip.AddrPort) {
+func (n *Node) handle(now time.Time, out *port.Outlet, message []byte, from netip.AddrPort) {
 	if !n.config.Trust.Allows(from.Addr()) {
 		n.logMalformed(now, "a message of an untrusted address")
 		return
@@ -123,7 +90,7 @@
 	}
 }
 
-func (n *Node) handleReturn(now time.Time, out *outlet, message []byte) bool {
+func (n *Node) handleReturn(now time.Time, out *port.Outlet, message []byte) bool {
 	var f carry.Forward
 	if !f.Decode(message) {
 		return false
@@ -135,7 +102,7 @@
 	n.mu.Lock()
 	verdict := n.director.Returned(now, &f, packet)
 	n.mu.Unlock()
-	out.do(now, &verdict, f.Datagram)
+	n.do(now, out, &verdict, f.Datagram)
 	return true
 }
 
--- a/lib/carry/carrier.go
+++ b/lib/carry/carrier.go
@@ -84,33 +84,6 @@
 	until       time.Time // when the caller of the request in progress has given up
 }
 
-// An Ending tells how a request ended for the agent.
-type Ending string
-
-// The endings of requests.
-const (
-	// EndingAbandoned means that the caller closed its flow before an answer.
-	EndingAbandoned Ending = "abandoned"
-	// EndingAnswered means that the response has begun.
-	EndingAnswered Ending = "answered"
-	// EndingLost means that the backend server ended before an answer.
-	EndingLost Ending = "lost"
-	// EndingTimedOut means that the request's timeout passed before an answer.
-	EndingTimedOut Ending = "timedOut"
-)
-
-// An Ended is a request that is no longer in progress.
-type Ended struct {
-	Ahead  int // requests in progress when it came, itself included
-	Ending Ending
-	Flow   Flow
-	ID     string // empty when it could not be read
-	Took   time.Duration
-}
-
-// endedCapacity is how many ended requests are kept until they are taken.
-const endedCapacity = 256
-
 // A Carrier decides for one agent what happens to packets of flows.
 type Carrier struct {
 	balancers  map[Endpoint]time.Time // last message of each
@@ -356,49 +329,6 @@
 	return Report{Busy: c.busy, Pace: c.pace, Slots: c.config.Server.Slots()}
 }
 
-// follow records a packet of an open flow on its way to the backend server.
-func (c *Carrier) follow(now time.Time, f *Forward, p Packet) {
-	flow := p.FromCaller()
-	known, ok := c.flows.Get(now, flow)
-	if !ok || known.supposed {
-		c.suppose(now, f, p)
-		return
-	}
-	if len(f.Asked) > 0 || len(f.Next) > 0 {
-		known.balancer = f.Origin
-	}
-	if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
-		c.end(now, flow, known, EndingAbandoned) // the caller waits for nothing more
-		c.idle(known)
-		return
-	}
-	end := p.Seq + uint32(p.Length)
-	if p.Length == 0 || !known.busy && known.sent && int32(end-known.next) <= 0 {
-		return // no data, or data of a request that has been answered
-	}
-	if !known.busy {
-		c.begin(now, known)
-	}
-	if !known.requested {
-		known.request = p.Request
-		known.requested = true
-		known.since = now
-	}
-	if !known.sent || int32(end-known.next) > 0 {
-		known.next = end
-	}
-	known.sent = true
-	known.until = now.Add(f.Timeout)
-}
-
-// suppose remembers who sent data of a flow that this agent does not know. The agent may have restarted; whether the
-// flow is here shows in what the backend server does, and until then it counts as no work.
-func (c *Carrier) suppose(now time.Time, f *Forward, p Packet) {
-	if p.Length > 0 {
-		c.flows.Put(now, p.FromCaller(), &held{balancer: f.Origin, supposed: true})
-	}
-}
-
 func (c *Carrier) deliver(f *Forward, p Packet) AgentVerdict {
 	c.nextEcho++
 	if c.nextEcho == 0 {
@@ -421,55 +351,3 @@
 	}
 	return verdict
 }
-
-// begin records that a request, or the flow that will bring one, has come.
-func (c *Carrier) begin(now time.Time, known *held) {
-	c.busy++
-	known.ahead = c.busy
-	known.busy = true
-	known.since = now
-	known.until = now.Add(openingLimit)
-}
-
-// end keeps how a request ended until TakeEnded.
-func (c *Carrier) end(now time.Time, flow Flow, known *held, ending Ending) {
-	if !known.busy || !known.requested || len(c.ended) == endedCapacity {
-		return
-	}
-	c.ended = append(c.ended, Ended{Ahead: known.ahead, Ending: ending, Flow: flow, ID: known.request, Took: now.Sub(known.since)})
-}
-
-// TakeEnded returns the requests that have ended since it was last called.
-func (c *Carrier) TakeEnded() []Ended {
-	ended := c.ended
-	c.ended = nil
-	return ended
-}
-
-// idle records that a flow has no request in progress.
-func (c *Carrier) idle(known *held) {
-	if known.busy {
-		c.busy = max(0, c.busy-1)
-	}
-	known.busy = false
-	known.requested = false
-}
-
-// finish records that the response to a request has begun.
-func (c *Carrier) finish(now time.Time, flow Flow, known *held) {
-	c.end(now, flow, known, EndingAnswered)
-	c.idle(known)
-	work := now.Sub(known.since)
-	if slots := c.config.Server.Slots(); known.ahead > slots {
-		work = work * time.Duration(slots) / time.Duration(known.ahead)
-	}
-	if c.pace == 0 {
-		c.pace = work
-	}
-	c.pace += time.Duration(float64(work-c.pace) * paceWeight)
-}
-
-func (c *Carrier) drop(flow Flow, known *held) {
-	c.flows.Delete(flow)
-	c.idle(known)
-}
