--- a/lib/carry/agents.go
+++ b/lib/carry/agents.go
@@ -209,6 +209,12 @@
 	return known.report.State
 }
 
+// HeardOf reports whether an agent has ever reported.
+func (a *Agents) HeardOf(address Endpoint) bool {
+	known := a.byAddress[address]
+	return known != nil && !known.heard.IsZero()
+}
+
 // Load returns the last report of an agent and its age.
 func (a *Agents) Load(now time.Time, address Endpoint) (Report, time.Duration) {
 	known := a.byAddress[address]
--- a/lib/carry/cache.go
+++ b/lib/carry/cache.go
@@ -30,6 +30,15 @@
 	return entry.value, true
 }
 
+// Peek returns a value and leaves its life as it is.
+func (c *Cache[K, V]) Peek(now time.Time, key K) (V, bool) {
+	if !c.Has(now, key) {
+		var zero V
+		return zero, false
+	}
+	return c.entries[key].value, true
+}
+
 // Has reports whether there is a value and leaves its life as it is.
 func (c *Cache[K, V]) Has(now time.Time, key K) bool {
 	entry := c.entries[key]
--- a/standin/tuple/stage_test.go
+++ b/standin/tuple/stage_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -208,3 +210,31 @@
 		}
 	})).To(gomega.Succeed())
 }
+
+func TestOperatorSeesStatusAndTracesAFlow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startTestStage(t, 107)
+	flow := openFlows(g, s, "open", 1)[0]
+	store := fmt.Sprintf("127.107.0.1:%d", storePort)
+	run := func(arguments ...string) (string, error) {
+		output, err := exec.Command(s.config.Program, arguments...).CombinedOutput()
+		return string(output), err
+	}
+	status, err := run("status", store)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(strings.Count(status, "ready true, config 1")).To(gomega.Equal(3))
+	g.Expect(strings.Count(status, " ready  ")).To(gomega.Equal(12))
+	trace, err := run("trace", store, flow.address.String(), Route.String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(strings.Count(trace, `route "r"`)).To(gomega.Equal(3))
+	g.Expect(strings.Count(trace, "owner 127.107.2.")).To(gomega.Equal(1))
+	checked, err := run("check", "agent", filepath.Join(s.config.Dir, "agent-0.json"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(checked).To(gomega.ContainSubstring("can be used"))
+	refused, err := run("check", "balancer", filepath.Join(s.config.Dir, "agent-0.json"))
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(refused).To(gomega.ContainSubstring("remove it or correct its spelling"))
+	refused, err = run("trace", store, "nobody", Route.String())
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(refused).To(gomega.ContainSubstring("give two addresses with ports"))
+}
