Disturb the real programs at random

Cause: process tests had one failure at a time; the users ask for a randomized soak of the real programs.

Change: standin soak kills, restarts and pauses balancers and agents, crashes and drains backend servers and makes the store fail, in overlapping series under a seed; it checks that responses are whole, that no living flow is reset, that nothing runs twice and that all works once it is calm.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 TOOLS := bin/tools
 
-.PHONY: bench build demo format lint measures slopes soak test
+.PHONY: bench build demo disturb format lint measures slopes soak test
 
 build:
 	mkdir -p bin
@@ -46,6 +46,9 @@
 measures: build
 	./bin/standin measures --seed $(SEED)
 
+disturb: build
+	./bin/standin soak --seed $(SEED) --seeds $(ROUNDS)
+
 soak:
 	SEED=$(SEED) CHECKS=$(ROUNDS) go test -count=1 -timeout 2h ./lib/...
 
--- a/standin/main.go
+++ b/standin/main.go
@@ -23,6 +23,7 @@
 	Relay    relayCommand     `cmd:"" help:"Forward datagrams as they are."`
 	Server   serverCommand    `cmd:"" help:"Serve as a backend server."`
 	Slopes   slopesCommand    `cmd:"" help:"Print the tables of docs/CAPACITY.md."`
+	Soak     soakCommand      `cmd:"" help:"Disturb the real programs at random and check their promises."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
--- a/standin/tuple/backend.go
+++ b/standin/tuple/backend.go
@@ -37,6 +37,7 @@
 	conn     *net.UDPConn
 	flows    map[flowKey]*served
 	mu       sync.Mutex
+	once     sync.Once      // ends it
 	Runs     map[string]int // requests begun, by ID
 	sequence int
 	state    string
@@ -87,8 +88,11 @@
 
 // Crash ends the backend server without a word.
 func (b *Backend) Crash() {
-	close(b.stop)
+	b.once.Do(func() { close(b.stop) })
 	_ = b.conn.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.flows = map[flowKey]*served{}
 }
 
 // Totals returns how many requests were begun, and how many packets were not what their senders wrote.
@@ -98,6 +102,31 @@
 	return len(b.Runs), b.Wrong
 }
 
+// Holds reports whether the backend server holds an open flow of a caller.
+func (b *Backend) Holds(caller netip.AddrPort) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key, flow := range b.flows {
+		if key.caller == caller && flow.open {
+			return true
+		}
+	}
+	return false
+}
+
+// Repeated returns the requests that were begun more than once.
+func (b *Backend) Repeated() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var repeated []string
+	for id, runs := range b.Runs {
+		if runs > 1 {
+			repeated = append(repeated, id)
+		}
+	}
+	return repeated
+}
+
 // Flows returns the number of open flows.
 func (b *Backend) Flows() int {
 	b.mu.Lock()
--- a/standin/tuple/stage.go
+++ b/standin/tuple/stage.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/standin/stage"
@@ -46,10 +47,11 @@
 
 // A Stage runs balancers and agents as processes, and the platform around them.
 type Stage struct {
-	Backends  []*Backend
+	Backends  []*Backend // guarded by mu once Replace is used
 	Objects   *Objects
 	Routers   *Routers
 	config    StageConfig
+	mu        sync.Mutex
 	processes map[string]*stage.Process
 	store     *http.Server
 }
@@ -87,6 +89,25 @@
 	return string(body), err
 }
 
+// Backend returns a backend server.
+func (s *Stage) Backend(i int) *Backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Backends[i]
+}
+
+// Replace ends a backend server, if it still runs, and starts a new one in its place.
+func (s *Stage) Replace(i int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Backends[i].Crash()
+	backend, err := NewBackend(s.Backends[i].config)
+	if err == nil {
+		s.Backends[i] = backend
+	}
+	return err
+}
+
 // Process returns the process of a balancer or an agent by name, such as balancer-0.
 func (s *Stage) Process(name string) *stage.Process { return s.processes[name] }
 
--- a/standin/tuple/stage_test.go
+++ b/standin/tuple/stage_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/cyclamendock/cyclamendock/lib/proof"
 )
 
 const requestLimit = 5 * time.Second
@@ -114,11 +116,7 @@
 	crashed := s.Backends[0]
 	lost := crashed.Flows()
 	g.Expect(lost).To(gomega.BeNumerically(">", 0))
-	close(crashed.stop)
-	_ = crashed.conn.Close()
-	again, err := NewBackend(crashed.config)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	s.Backends[0] = again
+	g.Expect(s.Replace(0)).To(gomega.Succeed())
 	resets := 0
 	for _, err := range getAll(flows, "crashed", 3000) {
 		if err == nil {
@@ -238,3 +236,21 @@
 	g.Expect(err).To(gomega.HaveOccurred())
 	g.Expect(refused).To(gomega.ContainSubstring("give two addresses with ports"))
 }
+
+func TestSoakBreaksNoPromise(t *testing.T) {
+	g := gomega.NewWithT(t)
+	program, err := filepath.Abs("../../bin/platform")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, seed := range []uint64{proof.Seed(), proof.Seed() + 1} {
+		report, err := Soak(t.Context(), SoakConfig{
+			Dir:      t.TempDir(),
+			Duration: 8 * time.Second,
+			Network:  byte(108 + seed%2),
+			Program:  program,
+			Seed:     seed,
+		})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(report.Violations).To(gomega.BeEmpty(), "seed %d: %v", seed, report.Disturbances)
+		g.Expect(report.Served).To(gomega.BeNumerically(">", 0))
+	}
+}
