--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -23,6 +23,8 @@
 	leaveLinger = 1600 * time.Millisecond
 	// agreePause is the least pause between two questions about the members to other balancers.
 	agreePause = 10 * time.Millisecond
+	// learnInterval is how often a balancer without configuration asks the others for theirs.
+	learnInterval = 50 * time.Millisecond
 	// listPause is the least pause between two reads of the members.
 	listPause     = 100 * time.Millisecond
 	tickInterval  = 10 * time.Millisecond
@@ -37,17 +39,19 @@
 	ticks := n.clock.Subscribe(tickInterval)
 	sweeps := n.clock.Subscribe(sweepInterval)
 	digests := n.clock.Subscribe(digestInterval)
+	learning := n.clock.Subscribe(learnInterval)
 	for {
 		select {
 		case <-ticks:
 			n.tick(out)
 		case now := <-sweeps:
 			n.sweep(now)
+		case <-learning:
+			if n.version() == 0 {
+				n.greetPeers(n.nextPeers())
+			}
 		case <-digests:
-			n.mu.Lock()
-			to := n.peers.next()
-			n.mu.Unlock()
-			n.sendDigests(to, false)
+			n.sendDigests(n.nextPeers(), false)
 		case <-n.ctx.Done():
 			return
 		}
@@ -200,7 +204,7 @@
 		}
 		n.takeMembers(members)
 		n.config.Log.Info("Joined.", logs.Fields{"members": len(members)})
-		n.greetPeers()
+		n.greetPeers(n.allPeers())
 		return nil
 	}, func(err error) { n.logStore("This balancer can't join.", err) })
 }
--- a/balancer/tuple/sync.go
+++ b/balancer/tuple/sync.go
@@ -135,17 +135,24 @@
 	}
 }
 
-// greetPeers makes every known balancer answer, so that this one soon knows which of them live.
-func (n *Node) greetPeers() {
+// greetPeers makes balancers answer, so that this one soon knows which of them live and what they know.
+func (n *Node) greetPeers(balancers []netip.AddrPort) {
 	n.mu.Lock()
 	digest := n.digest(false)
 	n.mu.Unlock()
 	digest.Ask = true
-	for _, balancer := range n.allPeers() {
+	for _, balancer := range balancers {
 		n.socket.Send(digest.Append(nil), balancer)
 	}
 }
 
+// nextPeers returns the balancers whose turn it is to be compared with.
+func (n *Node) nextPeers() []netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.peers.next()
+}
+
 // allPeers returns every known balancer.
 func (n *Node) allPeers() []netip.AddrPort {
 	n.mu.Lock()
--- a/standin/tuple/stage.go
+++ b/standin/tuple/stage.go
@@ -232,11 +232,7 @@
 		if time.Now().After(deadline) {
 			return fmt.Errorf("balancer-%d is not ready; see its log in %s", i, s.config.Dir)
 		}
-		response, err := http.Get("http://" + netip.AddrPortFrom(s.host(1, i), readyPort).String() + "/v1/ready")
-		if err == nil {
-			_ = response.Body.Close()
-		}
-		if err == nil && response.StatusCode == http.StatusOK {
+		if s.ready(i) {
 			i++
 			continue
 		}
@@ -246,6 +242,16 @@
 	return nil
 }
 
+// ready reports whether a balancer says that it is ready.
+func (s *Stage) ready(i int) bool {
+	response, err := http.Get("http://" + netip.AddrPortFrom(s.host(1, i), readyPort).String() + "/v1/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 func (s *Stage) host(group byte, i int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, s.config.Network, group, byte(i + 1)})
 }
--- a/standin/tuple/stage_test.go
+++ b/standin/tuple/stage_test.go
@@ -254,3 +254,24 @@
 		g.Expect(report.Served).To(gomega.BeNumerically(">", 0))
 	}
 }
+
+func TestBalancerLearnsFromTheOthersAtOnceWhileTheStoreIsDown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startTestStage(t, 118)
+	openFlows(g, s, "open", 3)
+	s.Objects.SetMood(Mood{Status: 503})
+	const restarts = 5
+	var learning time.Duration
+	for range restarts {
+		balancer := s.Process("balancer-2")
+		balancer.Kill(endLimit)
+		g.Expect(balancer.Start()).To(gomega.Succeed())
+		// Its metrics are served from its start on, and it is ready once it has configuration and agents.
+		g.Eventually(func() error { _, err := s.Metrics("balancer-2"); return err }, requestLimit, 5*time.Millisecond).Should(gomega.Succeed())
+		started := time.Now()
+		g.Eventually(func() bool { return s.ready(2) }, requestLimit, 5*time.Millisecond).Should(gomega.BeTrue())
+		learning += time.Since(started)
+	}
+	// Balancers compare what they know once a second; waiting for that took about a third of it each time.
+	g.Expect(learning).To(gomega.BeNumerically("<", restarts*200*time.Millisecond))
+}
