Let reports follow the flows between an agent and a balancer

Cause: every agent reported ten times a second to each balancer that had sent it anything within two seconds; at the target size that is 71 KB/s at a balancer, ten times the budget.

Change: ten reports a second only to balancers that place flows here, one a second to others; a report says when the next one is due, and suspicion follows that.

Ruled out: no reports without new flows; a lost owner would then never be noticed.

--- a/agent/tuple/control.go
+++ b/agent/tuple/control.go
@@ -16,8 +16,8 @@
 	// joinPause is the least pause between two entries into the members.
 	joinPause    = 5 * time.Second
 	leaveTimeout = time.Second
-	// reportInterval is how often balancers that send packets hear of this agent.
-	reportInterval = 100 * time.Millisecond
+	// reportInterval is how often the balancers that should get a report are looked for.
+	reportInterval = 50 * time.Millisecond
 	sweepInterval  = 200 * time.Millisecond
 	tickInterval   = 20 * time.Millisecond
 	timerBatch     = 8 // datagrams
@@ -68,10 +68,11 @@
 	now := time.Now()
 	n.mu.Lock()
 	report := n.carrier.Report(now)
-	balancers := n.carrier.Balancers(now, changed)
+	due := n.carrier.Due(now, changed)
 	n.mu.Unlock()
-	for _, balancer := range balancers {
-		out.Message(report.Append, balancer)
+	for _, d := range due {
+		report.Every = d.Every
+		out.Message(report.Append, d.Balancer)
 	}
 	out.Flush()
 }
--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -173,14 +173,14 @@
 	now := time.Now()
 	n.mu.Lock()
 	report := n.carrier.Report(now)
-	balancers := n.carrier.Balancers(now, true)
+	due := n.carrier.Due(now, true)
 	n.mu.Unlock()
 	report.State = carry.StateUnknown
 	if gone {
 		report.State = carry.StateLeft
 	}
-	for _, balancer := range balancers {
-		n.socket.Send(report.Append(nil), balancer.AddrPort())
+	for _, d := range due {
+		n.socket.Send(report.Append(nil), d.Balancer.AddrPort())
 	}
 }
 
--- a/lib/carry/agents.go
+++ b/lib/carry/agents.go
@@ -22,8 +22,8 @@
 	staleAfter = time.Second
 	// usedFor is how long a service counts as in use after a packet for it.
 	usedFor = 10 * time.Second
-	// suspectAfter is how long an agent that was sent something may be silent.
-	suspectAfter = 250 * time.Millisecond
+	// suspectAfter is how long the report of an agent that was sent something may be overdue.
+	suspectAfter = 150 * time.Millisecond
 	// smoothing is the weight of a new report in an agent's mean of busy requests.
 	smoothing = 0.1
 )
@@ -283,11 +283,11 @@
 }
 
 func (g *agent) suspect(now time.Time) bool {
-	return g.heard.IsZero() || g.waits && now.Sub(g.since) > suspectAfter
+	return g.heard.IsZero() || g.waits && now.Sub(g.since) > g.report.Every+suspectAfter
 }
 
 // stale reports whether what is known of an agent is old.
-func (g *agent) stale(now time.Time) bool { return now.Sub(g.heard) > 3*staleAfter/2 }
+func (g *agent) stale(now time.Time) bool { return now.Sub(g.heard) > 3*staleAfter/2+g.report.Every }
 
 func (g *agent) eligible(now time.Time) bool {
 	return g.report.State == StateReady && !g.suspect(now)
--- a/lib/carry/carrier.go
+++ b/lib/carry/carrier.go
@@ -8,10 +8,6 @@
 const (
 	deliveryCount = 1 << 10 // deliveries whose return can be recognised
 	heldCapacity  = 1 << 14 // flows
-	// acquaintance is how long an agent tells a balancer that has sent it something of a changed state.
-	acquaintance = 10 * time.Minute
-	// interest is how long an agent keeps reporting its load to a balancer that has sent it something.
-	interest = 2 * time.Second
 	// openingLimit is how long a flow that was taken counts as work before its first request comes.
 	openingLimit = 300 * time.Millisecond
 	// paceWeight is the weight of a new duration in the mean duration of requests.
@@ -86,7 +82,7 @@
 
 // A Carrier decides for one agent what happens to packets of flows.
 type Carrier struct {
-	balancers  map[Endpoint]time.Time // last message of each
+	audience   *Audience
 	busy       int
 	config     CarrierConfig
 	deliveries []delivery
@@ -100,7 +96,7 @@
 // NewCarrier returns a carrier without flows.
 func NewCarrier(config CarrierConfig) *Carrier {
 	return &Carrier{
-		balancers:  map[Endpoint]time.Time{},
+		audience:   NewAudience(),
 		config:     config,
 		deliveries: make([]delivery, deliveryCount),
 		flows:      NewCache[Flow, *held](heldCapacity, config.FlowLifetime),
@@ -111,7 +107,7 @@
 
 // Forwarded decides about a packet that a balancer or another agent has sent.
 func (c *Carrier) Forwarded(now time.Time, f *Forward, p Packet) AgentVerdict {
-	c.balancers[f.Origin] = now
+	c.audience.Heard(now, f.Origin, p.Opens())
 	if f.Service != c.config.Service {
 		return c.pass(f, p)
 	}
@@ -183,12 +179,16 @@
 }
 
 // Greeted records that a balancer wants reports.
-func (c *Carrier) Greeted(now time.Time, balancer Endpoint) { c.balancers[balancer] = now }
+func (c *Carrier) Greeted(now time.Time, balancer Endpoint) { c.audience.Heard(now, balancer, false) }
+
+// Due returns the balancers that should get a report now, or all when the state has changed.
+func (c *Carrier) Due(now time.Time, changed bool) []Due { return c.audience.Due(now, changed) }
 
 // Report returns what the agent tells balancers now.
 func (c *Carrier) Report(now time.Time) Report {
 	return Report{
 		Busy:    c.busy + c.room.Len(),
+		Every:   reportRarely,
 		Flows:   c.flows.Len(),
 		Pace:    c.pace,
 		Service: c.config.Service,
@@ -199,23 +199,6 @@
 	}
 }
 
-// Balancers returns the balancers that want reports of the load, or all that want to hear of a changed state.
-func (c *Carrier) Balancers(now time.Time, changed bool) []Endpoint {
-	var interested []Endpoint
-	for balancer, heard := range c.balancers {
-		silent := now.Sub(heard)
-		if silent > acquaintance {
-			delete(c.balancers, balancer)
-			continue
-		}
-		if changed || silent <= interest {
-			interested = append(interested, balancer)
-		}
-	}
-	slices.SortFunc(interested, Endpoint.Compare)
-	return interested
-}
-
 // Busy returns the number of requests in progress.
 func (c *Carrier) Busy() int { return c.busy }
 
--- a/lib/carry/message.go
+++ b/lib/carry/message.go
@@ -89,6 +89,7 @@
 // A Report is what an agent tells balancers about itself.
 type Report struct {
 	Busy    int           // requests in progress
+	Every   time.Duration // at most until the next report, if the balancer goes on sending
 	Flows   int           // open flows
 	Pace    time.Duration // mean work of a request; zero when not known
 	Service ServiceID
@@ -178,7 +179,8 @@
 	dst = binary.BigEndian.AppendUint16(dst, clamp(p.Busy))
 	dst = binary.BigEndian.AppendUint16(dst, clamp(p.Flows))
 	dst = binary.BigEndian.AppendUint16(dst, clamp(p.Slots))
-	return binary.BigEndian.AppendUint16(dst, shortMillis(p.Pace))
+	dst = binary.BigEndian.AppendUint16(dst, shortMillis(p.Pace))
+	return binary.BigEndian.AppendUint16(dst, shortMillis(p.Every))
 }
 
 // Decode reads the message.
@@ -193,6 +195,7 @@
 	p.Flows = int(r.uint16())
 	p.Slots = int(r.uint16())
 	p.Pace = time.Duration(r.uint16()) * millisecond
+	p.Every = time.Duration(r.uint16()) * millisecond
 	return !r.failed && p.State <= StateLeft
 }
 
