Keep flows whose route has moved to another service

Cause, found by reading: a known owner was asked in the name of the route's present service. After a route had moved, the agent refused the packet as another service's, its refusal counted as a no, and the living flow was reset.

Change: an owner is asked in the name of its own service; refusals of another service's packets prove nothing; an agent that was asked before it was heard is asked again. Waiting flows of a service without agents are looked at once a tick; removed routes are forgotten in the end.

--- a/balancer/tuple/packets.go
+++ b/balancer/tuple/packets.go
@@ -123,7 +123,7 @@
 		return false
 	}
 	n.mu.Lock()
-	changed := n.director.Agents.Report(now, sender, report)
+	changed := n.director.Report(now, sender, report)
 	n.mu.Unlock()
 	if changed {
 		n.config.Log.Info("Agent changed.", logs.Fields{
--- a/lib/carry/agents.go
+++ b/lib/carry/agents.go
@@ -215,6 +215,15 @@
 	return known != nil && !known.heard.IsZero()
 }
 
+// ServiceOf returns the service of an agent that has reported.
+func (a *Agents) ServiceOf(address Endpoint) (ServiceID, bool) {
+	known := a.byAddress[address]
+	if known == nil || known.heard.IsZero() {
+		return 0, false
+	}
+	return known.report.Service, true
+}
+
 // Load returns the last report of an agent and its age.
 func (a *Agents) Load(now time.Time, address Endpoint) (Report, time.Duration) {
 	known := a.byAddress[address]
--- a/lib/carry/director.go
+++ b/lib/carry/director.go
@@ -151,12 +151,25 @@
 	if p.Opens() {
 		return d.open(now, route, p, datagram)
 	}
-	if owner, ok := d.hints.Get(now, flow); ok && !d.Agents.Lost(now, owner) {
-		return d.forward(now, route, p, route.Service(flow), []Endpoint{owner}, nil)
+	if owner, service, ok := d.ownerOf(now, route, flow); ok {
+		return d.forward(now, route, p, service, []Endpoint{owner}, nil)
 	}
 	return d.search(now, route, p)
 }
 
+// ownerOf returns the agent that is known to hold a flow, and its service, which may be one that the route had before.
+func (d *Director) ownerOf(now time.Time, route Route, flow Flow) (Endpoint, ServiceID, bool) {
+	owner, ok := d.hints.Get(now, flow)
+	if !ok || d.Agents.Lost(now, owner) {
+		return Endpoint{}, 0, false
+	}
+	service, known := d.Agents.ServiceOf(owner)
+	if !known {
+		return owner, route.Service(flow), true
+	}
+	return owner, service, slices.Contains(d.servicesOf(flow.Service, route.Service(flow)), service)
+}
+
 // Returned decides about a packet that every agent on its list has refused.
 func (d *Director) Returned(now time.Time, f *Forward, p Packet) Verdict {
 	flow := p.FromCaller()
@@ -172,7 +185,7 @@
 	}
 	known := d.searchOf(now, flow)
 	for _, agent := range f.Asked {
-		if !slices.Contains(known.no, agent) {
+		if !slices.Contains(known.no, agent) && d.answersFor(agent, f.Service) {
 			known.no = append(known.no, agent)
 		}
 	}
@@ -182,6 +195,26 @@
 	return d.ask(now, route, p, known)
 }
 
+// answersFor reports whether an agent's no concerns the flow and not only a service that is not its own.
+func (d *Director) answersFor(agent Endpoint, service ServiceID) bool {
+	own, known := d.Agents.ServiceOf(agent)
+	return !known || own == service
+}
+
+// Report takes an agent's report and reports whether its state has changed. What an agent answered before its service
+// was known may have concerned another service only, so that it is asked again.
+func (d *Director) Report(now time.Time, agent Endpoint, report Report) bool {
+	before, known := d.Agents.ServiceOf(agent)
+	changed := d.Agents.Report(now, agent, report)
+	if known && before == report.Service {
+		return changed
+	}
+	d.searches.Each(func(_ Flow, s *search) {
+		s.no = slices.DeleteFunc(s.no, func(other Endpoint) bool { return other == agent })
+	})
+	return changed
+}
+
 // Owner records which agent holds a flow.
 func (d *Director) Owner(now time.Time, flow Flow, owner Endpoint) {
 	d.hints.Put(now, flow, owner)
@@ -193,6 +226,7 @@
 // waited too long.
 func (d *Director) Tick(now time.Time) []Verdict {
 	var verdicts []Verdict
+	closed := map[ServiceID]bool{} // services without an agent that takes new flows
 	for _, flow := range d.waitingFlows() {
 		wait := d.waits[flow]
 		route, ok := d.routes.ByAddress[flow.Service]
@@ -200,7 +234,11 @@
 			delete(d.waits, flow)
 			continue
 		}
-		verdict := d.place(now, route, wait.packet, nil)
+		verdict := Verdict{}
+		if service := route.Service(flow); !closed[service] {
+			verdict = d.place(now, route, wait.packet, nil)
+			closed[service] = verdict.Action != ActForward
+		}
 		if verdict.Action != ActForward {
 			if now.Sub(wait.since) < d.config.HoldLimit {
 				continue
@@ -237,6 +275,11 @@
 	d.hints.Sweep(now)
 	d.removed.Sweep(now)
 	d.searches.Sweep(now)
+	for address := range d.served {
+		if _, routed := d.routes.ByAddress[address]; !routed && !d.removed.Has(now, address) {
+			delete(d.served, address)
+		}
+	}
 	for flow, end := range d.proofs {
 		if now.Sub(end.since) > searchMemory {
 			delete(d.proofs, flow)
--- a/lib/carry/director_test.go
+++ b/lib/carry/director_test.go
@@ -126,9 +126,40 @@
 	d.SetRoutes(n.now, moved)
 	d.hints.Delete(testFlow(1))
 	before := n.delivered[testFlow(1)]
-	n.send(testFlow(1), FlagAck, 100)
-	n.pass(200 * time.Millisecond)
-	n.send(testFlow(1), FlagAck, 100)
+	for range 5 { // found by a search first, known afterwards
+		n.send(testFlow(1), FlagAck, 100)
+		n.pass(200 * time.Millisecond)
+	}
 	g.Expect(n.resets).To(gomega.BeEmpty())
-	g.Expect(n.delivered[testFlow(1)]).To(gomega.BeNumerically(">", before))
+	g.Expect(n.delivered[testFlow(1)]).To(gomega.Equal(before + 5))
+}
+
+func TestRoutesThatAreGoneAreForgottenInTheEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	d := NewDirector(DirectorConfig{FlowLifetime: time.Minute, LostAfter: testLost})
+	d.SetRoutes(now, testRoutes(1, testAddress, floodAddress))
+	d.SetRoutes(now, testRoutes(2, testAddress))
+	d.Sweep(now)
+	g.Expect(d.served).To(gomega.HaveLen(2))
+	d.Sweep(now.Add(time.Minute + 1))
+	g.Expect(d.served).To(gomega.HaveLen(1))
+}
+
+func TestAgentIsAskedAgainOnceItsServiceIsKnown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	d := NewDirector(DirectorConfig{FlowLifetime: time.Minute, LostAfter: testLost})
+	d.SetRoutes(now, testRoutes(1, testAddress))
+	owner := testEndpoint(2, 0)
+	d.Agents.Add(now, owner)
+	packet := Packet{Destination: testAddress, Flags: FlagAck, Source: testFlow(1).Caller}
+	asked := d.Packet(now, packet, nil)
+	g.Expect(asked.To).To(gomega.Equal([]Endpoint{owner}))
+	returned := asked.Forward
+	returned.Asked = []Endpoint{owner}
+	g.Expect(d.Returned(now, &returned, packet).Action).To(gomega.Equal(ActProve))
+	d.Report(now, owner, Report{Every: reportOften, Service: ServiceIDOf(testService), Slots: 7, State: StateReady})
+	g.Expect(d.Listed(now, now)).To(gomega.BeEmpty())
+	g.Expect(d.Packet(now, packet, nil).To).To(gomega.Equal([]Endpoint{owner}))
 }
--- a/lib/carry/search.go
+++ b/lib/carry/search.go
@@ -10,6 +10,7 @@
 	began  time.Time  // of the last round
 	fanned bool       // the last round asked all agents at once
 	no     []Endpoint // agents that do not hold the flow
+	round  int        // of asking all agents of a service at once
 }
 
 // An ending is a flow that no known agent holds.
@@ -28,18 +29,19 @@
 		return d.ask(now, route, p, known)
 	}
 	flow := p.FromCaller()
-	var all []Endpoint
-	for _, service := range d.servicesOf(flow.Service, route.Service(flow)) {
+	services := d.servicesOf(flow.Service, route.Service(flow))
+	for range services {
+		known.round++
+		service := services[known.round%len(services)] // in turn, since one of them may be silent for long
 		answering, silent := d.Agents.holders(now, service, flow, known.no)
-		all = append(append(all, answering...), silent...)
-	}
-	if len(all) == 0 {
-		return d.prove(now, p, known)
+		all := append(answering, silent...)
+		if len(all) == 0 {
+			continue
+		}
+		known.began, known.fanned = now, true
+		return d.forward(now, route, p, service, all[:min(len(all), maxListed)], nil)
 	}
-	slices.SortFunc(all, Endpoint.Compare)
-	all = slices.Compact(all)
-	known.began, known.fanned = now, true
-	return d.forward(now, route, p, route.Service(flow), all[:min(len(all), maxListed)], nil)
+	return d.prove(now, p, known)
 }
 
 // ask offers a packet to the agents that may hold its flow, one after the other. Those that are silent are asked
