Send waiting flows elsewhere when their backend server drains

Cause, found by reading: flows that waited at an agent were still let in for up to 1.2 s after it had acknowledged that its backend server leaves.

Change: they go back to their balancers, which may place them elsewhere.

--- a/lib/carry/carrier.go
+++ b/lib/carry/carrier.go
@@ -276,9 +276,12 @@
 	return AgentVerdict{Action: AgentOwn, Flow: p.FromCaller(), Reason: ReasonHeld, To: f.Origin}
 }
 
-// Release returns the decisions about waiting flows that the backend server has room for now, or that have waited
-// too long.
+// Release returns the decisions about waiting flows that the backend server has room for now, that have to go
+// elsewhere because it takes no new ones any more, or that have waited too long.
 func (c *Carrier) Release(now time.Time) []AgentVerdict {
+	if c.config.Server.State(now) != StateReady {
+		return c.sendBack(c.room.expire(now.Add(1)), false)
+	}
 	var verdicts []AgentVerdict
 	for {
 		g, ok := c.room.peek()
@@ -295,8 +298,14 @@
 		verdict.Datagram = g.datagram
 		verdicts = append(verdicts, verdict)
 	}
-	for _, g := range c.room.expire(now.Add(-waitLimit)) {
-		g.forward.Last = true
+	return append(verdicts, c.sendBack(c.room.expire(now.Add(-waitLimit)), true)...)
+}
+
+// sendBack returns flows that have waited to their balancers; after the last time nobody else is asked.
+func (c *Carrier) sendBack(guests []guest, last bool) []AgentVerdict {
+	var verdicts []AgentVerdict
+	for _, g := range guests {
+		g.forward.Full, g.forward.Last = last, last
 		verdict := c.pass(&g.forward, g.packet)
 		verdict.Datagram = g.datagram
 		verdicts = append(verdicts, verdict)
--- a/lib/carry/carrier_test.go
+++ b/lib/carry/carrier_test.go
@@ -261,3 +261,23 @@
 	}
 	g.Expect(o.carrier.Waiting()).To(gomega.Equal(waiting))
 }
+
+func TestFlowsThatWaitGoElsewhereWhenTheServerDrains(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := time.Unix(0, 0)
+	o := newOverload(start, 1)
+	for i := range 6 {
+		o.open(start, testFlow(i))
+	}
+	waiting := o.carrier.Waiting()
+	g.Expect(waiting).To(gomega.BeNumerically(">", 0))
+	_, err := o.carrier.config.Server.Announce(start, Announcement{Born: 1, ID: "i", Sequence: 2, Service: testService, Slots: 1, State: StateDraining})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	moved := o.carrier.Release(start)
+	g.Expect(moved).To(gomega.HaveLen(waiting))
+	for _, verdict := range moved {
+		g.Expect(verdict.Kind).To(gomega.Equal(KindReturn))
+		g.Expect(verdict.Forward.Last).To(gomega.BeFalse()) // the balancer may place it elsewhere
+		g.Expect(verdict.Datagram).NotTo(gomega.BeEmpty())
+	}
+}
