--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -168,8 +168,8 @@
 	}
 }
 
-// sayGoodbye tells the balancers that this agent takes no new flows, or that it has ended for good.
-func (n *Node) sayGoodbye(gone bool) {
+// reportLeaving tells the balancers that this agent takes no new flows, or that it has ended for good.
+func (n *Node) reportLeaving(gone bool) {
 	now := time.Now()
 	n.mu.Lock()
 	report := n.carrier.Report(now)
@@ -197,7 +197,7 @@
 		}
 		cancel()
 	}
-	n.sayGoodbye(gone)
+	n.reportLeaving(gone)
 	n.stop()
 	n.socket.Close()
 	n.outlet.Close()
--- a/lib/carry/carrier.go
+++ b/lib/carry/carrier.go
@@ -11,8 +11,8 @@
 	// openingLimit is how long a flow that was taken counts as work before its first request comes.
 	openingLimit = 300 * time.Millisecond
 	// paceWeight is the weight of a new duration in the mean duration of requests.
-	paceWeight   = 0.1
-	roomCapacity = 256 // flows
+	paceWeight    = 0.1
+	queueCapacity = 256 // flows
 	// waitLimit is how long a new flow may wait; its caller gives up a little later.
 	waitLimit = 1200 * time.Millisecond
 )
@@ -76,38 +76,38 @@
 	requested   bool   // the request in progress has come; else only the flow that will bring it
 	sent        bool   // the caller has sent data
 	since       time.Time
-	supposed    bool      // nothing has shown yet that the backend server holds it
+	tentative   bool      // nothing has shown yet that the backend server holds it
 	until       time.Time // when the caller of the request in progress has given up
 }
 
 // A Carrier decides for one agent what happens to packets of flows.
 type Carrier struct {
-	audience   *Audience
-	busy       int
-	config     CarrierConfig
-	deliveries []delivery
-	ended      []Ended
-	flows      *Cache[Flow, *held]
-	nextEcho   uint32
-	pace       time.Duration // mean work of a request; zero when none has ended
-	room       *Room
+	subscribers *Subscribers
+	busy        int
+	config      CarrierConfig
+	deliveries  []delivery
+	ended       []Ended
+	flows       *Cache[Flow, *held]
+	nextEcho    uint32
+	pace        time.Duration // mean work of a request; zero when none has ended
+	queue       *WaitQueue
 }
 
 // NewCarrier returns a carrier without flows.
 func NewCarrier(config CarrierConfig) *Carrier {
 	return &Carrier{
-		audience:   NewAudience(),
-		config:     config,
-		deliveries: make([]delivery, deliveryCount),
-		flows:      NewCache[Flow, *held](heldCapacity, config.FlowLifetime),
-		nextEcho:   config.FirstEcho,
-		room:       NewRoom(roomCapacity),
+		subscribers: NewSubscribers(),
+		config:      config,
+		deliveries:  make([]delivery, deliveryCount),
+		flows:       NewCache[Flow, *held](heldCapacity, config.FlowLifetime),
+		nextEcho:    config.FirstEcho,
+		queue:       NewWaitQueue(queueCapacity),
 	}
 }
 
 // Forwarded decides about a packet that a balancer or another agent has sent.
 func (c *Carrier) Forwarded(now time.Time, f *Forward, p Packet) AgentVerdict {
-	c.audience.Heard(now, f.Origin, p.Opens())
+	c.subscribers.Heard(now, f.Origin, p.Opens())
 	if f.Service != c.config.Service {
 		return c.pass(f, p)
 	}
@@ -163,7 +163,7 @@
 			return Endpoint{}, false
 		}
 	}
-	known.supposed = false
+	known.tentative = false
 	if p.Length > 0 && known.busy && known.requested {
 		c.finish(now, flow, known)
 	}
@@ -179,15 +179,17 @@
 }
 
 // Greeted records that a balancer wants reports.
-func (c *Carrier) Greeted(now time.Time, balancer Endpoint) { c.audience.Heard(now, balancer, false) }
+func (c *Carrier) Greeted(now time.Time, balancer Endpoint) {
+	c.subscribers.Heard(now, balancer, false)
+}
 
 // Due returns the balancers that should get a report now, or all when the state has changed.
-func (c *Carrier) Due(now time.Time, changed bool) []Due { return c.audience.Due(now, changed) }
+func (c *Carrier) Due(now time.Time, changed bool) []Due { return c.subscribers.Due(now, changed) }
 
 // Report returns what the agent tells balancers now.
 func (c *Carrier) Report(now time.Time) Report {
 	return Report{
-		Busy:    c.busy + c.room.Len(),
+		Busy:    c.busy + c.queue.Len(),
 		Every:   reportRarely,
 		Flows:   c.flows.Len(),
 		Pace:    c.pace,
@@ -227,13 +229,13 @@
 		return c.pass(f, p)
 	}
 	flow := p.FromCaller()
-	if c.room.Has(flow) {
+	if c.queue.Has(flow) {
 		return AgentVerdict{Flow: flow, Reason: ReasonHeld}
 	}
 	if _, repeated := c.flows.Get(now, flow); repeated {
 		return c.deliver(f, p)
 	}
-	if c.room.Len() > 0 || !c.load().meets(f.Aim) {
+	if c.queue.Len() > 0 || !c.load().meets(f.Aim) {
 		return c.wait(now, f, p)
 	}
 	known, taken := c.take(now, flow)
@@ -265,11 +267,11 @@
 		return c.pass(f, p)
 	}
 	load := c.load()
-	load.Busy += c.room.Len()
+	load.Busy += c.queue.Len()
 	kept := *f
 	kept.Datagram = nil
-	g := guest{datagram: slices.Clone(f.Datagram), forward: kept, packet: p, since: now}
-	if load.finish(f.Aim) > f.Timeout || !c.room.add(g) {
+	g := queuedFlow{datagram: slices.Clone(f.Datagram), forward: kept, packet: p, since: now}
+	if load.finish(f.Aim) > f.Timeout || !c.queue.add(g) {
 		f.Last = true
 		return c.pass(f, p)
 	}
@@ -280,11 +282,11 @@
 // elsewhere because it takes no new ones any more, or that have waited too long.
 func (c *Carrier) Release(now time.Time) []AgentVerdict {
 	if c.config.Server.State(now) != StateReady {
-		return c.sendBack(c.room.expire(now.Add(1)), false)
+		return c.sendBack(c.queue.expire(now.Add(1)), false)
 	}
 	var verdicts []AgentVerdict
 	for {
-		g, ok := c.room.peek()
+		g, ok := c.queue.peek()
 		if !ok || !c.load().meets(g.forward.Aim) {
 			break
 		}
@@ -292,19 +294,19 @@
 		if !taken {
 			break
 		}
-		c.room.pop()
+		c.queue.pop()
 		known.balancer = g.forward.Origin
 		verdict := c.deliver(&g.forward, g.packet)
 		verdict.Datagram = g.datagram
 		verdicts = append(verdicts, verdict)
 	}
-	return append(verdicts, c.sendBack(c.room.expire(now.Add(-waitLimit)), true)...)
+	return append(verdicts, c.sendBack(c.queue.expire(now.Add(-waitLimit)), true)...)
 }
 
 // sendBack returns flows that have waited to their balancers; after the last time nobody else is asked.
-func (c *Carrier) sendBack(guests []guest, last bool) []AgentVerdict {
+func (c *Carrier) sendBack(flows []queuedFlow, last bool) []AgentVerdict {
 	var verdicts []AgentVerdict
-	for _, g := range guests {
+	for _, g := range flows {
 		g.forward.Full, g.forward.Last = last, last
 		verdict := c.pass(&g.forward, g.packet)
 		verdict.Datagram = g.datagram
@@ -314,7 +316,7 @@
 }
 
 // Waiting returns the number of waiting flows.
-func (c *Carrier) Waiting() int { return c.room.Len() }
+func (c *Carrier) Waiting() int { return c.queue.Len() }
 
 // load returns the work of the backend server without what waits at this agent.
 func (c *Carrier) load() Report {
--- a/lib/carry/requests.go
+++ b/lib/carry/requests.go
@@ -33,8 +33,8 @@
 func (c *Carrier) follow(now time.Time, f *Forward, p Packet) {
 	flow := p.FromCaller()
 	known, ok := c.flows.Get(now, flow)
-	if !ok || known.supposed {
-		c.suppose(now, f, p)
+	if !ok || known.tentative {
+		c.trackTentative(now, f, p)
 		return
 	}
 	if len(f.Asked) > 0 || len(f.Next) > 0 {
@@ -64,11 +64,11 @@
 	known.until = now.Add(f.Timeout)
 }
 
-// suppose remembers who sent data of a flow that this agent does not know. The agent may have restarted; whether the
+// trackTentative remembers who sent data of a flow that this agent does not know. The agent may have restarted; whether the
 // flow is here shows in what the backend server does, and until then it counts as no work.
-func (c *Carrier) suppose(now time.Time, f *Forward, p Packet) {
+func (c *Carrier) trackTentative(now time.Time, f *Forward, p Packet) {
 	if p.Length > 0 {
-		c.flows.Put(now, p.FromCaller(), &held{balancer: f.Origin, supposed: true})
+		c.flows.Put(now, p.FromCaller(), &held{balancer: f.Origin, tentative: true})
 	}
 }
 
--- a/lib/carry/audience.go
+++ b/lib/carry/subscribers.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	// acquaintance is how long an agent tells a balancer that has sent it something of a changed state.
-	acquaintance = 10 * time.Minute
-	// interest is how long an agent keeps reporting its load to a balancer that has sent it something.
-	interest = 2 * time.Second
-	// busyOpenings is how many new flows within interest make a balancer want reports often.
+	// stateInterest is how long an agent tells a balancer that has sent it something of a changed state.
+	stateInterest = 10 * time.Minute
+	// loadInterest is how long an agent keeps reporting its load to a balancer that has sent it something.
+	loadInterest = 2 * time.Second
+	// busyOpenings is how many new flows within loadInterest make a balancer want reports often.
 	busyOpenings = 2
 	// reportOften is the pause between reports to a balancer that places flows here all the time: its choice is as
 	// good as its reports are young.
@@ -19,8 +19,8 @@
 	reportRarely = time.Second
 )
 
-// A listener is a balancer to which an agent reports.
-type listener struct {
+// A subscriber is a balancer to which an agent reports.
+type subscriber struct {
 	began    time.Time // of the present count of openings
 	heard    time.Time // last message
 	last     int       // openings counted before began
@@ -28,9 +28,9 @@
 	reported time.Time
 }
 
-// An Audience decides when an agent reports to which balancer, so that reports follow the flows between the two.
-type Audience struct {
-	listeners map[Endpoint]*listener
+// Subscribers decide when an agent reports to which balancer, so that reports follow the flows between the two.
+type Subscribers struct {
+	byBalancer map[Endpoint]*subscriber
 }
 
 // A Due is a balancer that should get a report now.
@@ -39,18 +39,18 @@
 	Every    time.Duration // at most until the next report, if the balancer goes on sending
 }
 
-// NewAudience returns an audience without balancers.
-func NewAudience() *Audience { return &Audience{listeners: map[Endpoint]*listener{}} }
+// NewSubscribers returns a set without balancers.
+func NewSubscribers() *Subscribers { return &Subscribers{byBalancer: map[Endpoint]*subscriber{}} }
 
 // Heard records a message of a balancer.
-func (a *Audience) Heard(now time.Time, balancer Endpoint, opens bool) {
-	known := a.listeners[balancer]
+func (s *Subscribers) Heard(now time.Time, balancer Endpoint, opens bool) {
+	known := s.byBalancer[balancer]
 	if known == nil {
-		known = &listener{began: now}
-		a.listeners[balancer] = known
+		known = &subscriber{began: now}
+		s.byBalancer[balancer] = known
 	}
 	known.heard = now
-	if now.Sub(known.began) > interest {
+	if now.Sub(known.began) > loadInterest {
 		known.last, known.openings, known.began = known.openings, 0, now
 	}
 	if opens {
@@ -60,16 +60,16 @@
 
 // Due returns the balancers that should get a report now: those that place flows here, those that have sent
 // something for the first time in a while, or all of them when the agent's state has changed.
-func (a *Audience) Due(now time.Time, changed bool) []Due {
+func (s *Subscribers) Due(now time.Time, changed bool) []Due {
 	var due []Due
-	for balancer, known := range a.listeners {
+	for balancer, known := range s.byBalancer {
 		silent := now.Sub(known.heard)
-		if silent > acquaintance {
-			delete(a.listeners, balancer)
+		if silent > stateInterest {
+			delete(s.byBalancer, balancer)
 			continue
 		}
 		every := known.every()
-		if changed || silent <= interest && now.Sub(known.reported) >= every {
+		if changed || silent <= loadInterest && now.Sub(known.reported) >= every {
 			known.reported = now
 			due = append(due, Due{Balancer: balancer, Every: every})
 		}
@@ -78,7 +78,7 @@
 	return due
 }
 
-func (l *listener) every() time.Duration {
+func (l *subscriber) every() time.Duration {
 	if max(l.openings, l.last) >= busyOpenings {
 		return reportOften
 	}
--- a/lib/carry/audience_test.go
+++ b/lib/carry/subscribers_test.go
@@ -9,7 +9,7 @@
 
 // reportsOf counts the reports to a balancer that sends packets at a pace for ten seconds.
 func reportsOf(pause time.Duration, openingEach int) int {
-	a := NewAudience()
+	a := NewSubscribers()
 	start := time.Unix(0, 0)
 	reports, sent := 0, 0
 	for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
@@ -33,7 +33,7 @@
 
 func TestFirstPacketAfterAWhileIsAnsweredAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
-	a := NewAudience()
+	a := NewSubscribers()
 	now := time.Unix(0, 0)
 	a.Heard(now, testEndpoint(1, 0), false)
 	g.Expect(a.Due(now, false)).To(gomega.HaveLen(1))
@@ -44,15 +44,15 @@
 	g.Expect(a.Due(later, false)).To(gomega.Equal([]Due{{Balancer: testEndpoint(1, 0), Every: reportRarely}}))
 }
 
-func TestChangedStateIsToldToAllAcquaintances(t *testing.T) {
+func TestChangedStateIsReportedToAllSubscribers(t *testing.T) {
 	g := gomega.NewWithT(t)
-	a := NewAudience()
+	a := NewSubscribers()
 	now := time.Unix(0, 0)
 	for i := range 3 {
 		a.Heard(now, testEndpoint(1, i), false)
 	}
 	g.Expect(a.Due(now.Add(5*time.Minute), true)).To(gomega.HaveLen(3))
-	g.Expect(a.Due(now.Add(acquaintance+1), true)).To(gomega.BeEmpty())
+	g.Expect(a.Due(now.Add(stateInterest+1), true)).To(gomega.BeEmpty())
 }
 
 func TestAgentThatReportsRarelyIsSuspectedLater(t *testing.T) {
