Ask an agent that was forgotten to join again when it reports

Cause, found by reading: since balancers confirm the members to each other, the list in the store is seldom read, so an agent that was removed during a long silence and came back was not asked to join again.

Change: a report from an address that was forgotten lately is answered by that request.

--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// runRemove removes agents from the members; one that is back joins again when it is missed in a list.
+// runRemove removes agents from the members; one that is back is asked to join again.
 func (n *Node) runRemove(agents []carry.Endpoint) {
 	for _, agent := range agents {
 		if err := n.directory.Remove(n.ctx, agent.AddrPort()); err != nil {
--- a/balancer/tuple/packets.go
+++ b/balancer/tuple/packets.go
@@ -123,8 +123,12 @@
 		return false
 	}
 	n.mu.Lock()
+	back := n.director.Agents.Forgot(now, sender)
 	changed := n.director.Report(now, sender, report)
 	n.mu.Unlock()
+	if back { // it may have been removed from the members meanwhile
+		n.socket.Send(carry.AppendJoin(nil), sender.AddrPort())
+	}
 	if changed {
 		n.config.Log.Info("Agent changed.", logs.Fields{
 			"agent": sender.String(),
--- a/lib/carry/agents.go
+++ b/lib/carry/agents.go
@@ -131,6 +131,9 @@
 	return silent
 }
 
+// Forgot reports whether an address was forgotten lately and has not reported since.
+func (a *Agents) Forgot(now time.Time, address Endpoint) bool { return a.forgotten.Has(now, address) }
+
 // Unlisted returns the agents that are heard but missing from a list of members.
 func (a *Agents) Unlisted(now time.Time, listed []Endpoint) []Endpoint {
 	var missing []Endpoint
--- a/lib/carry/agents_test.go
+++ b/lib/carry/agents_test.go
@@ -28,8 +28,10 @@
 	later := now.Add(2*testLost + 1)
 	g.Expect(a.Forget(later)).To(gomega.Equal([]Endpoint{dead}))
 	g.Expect(a.Add(later, dead)).To(gomega.BeFalse())
+	g.Expect(a.Forgot(later, dead)).To(gomega.BeTrue())
 	g.Expect(a.Report(later, dead, Report{Service: ServiceIDOf(testService), State: StateReady})).To(gomega.BeTrue())
 	g.Expect(a.Known(dead)).To(gomega.BeTrue())
+	g.Expect(a.Forgot(later, dead)).To(gomega.BeFalse())
 }
 
 func TestBalancerThatHearsNobodyForgetsNobody(t *testing.T) {
