--- a/agent/tuple/control.go
+++ b/agent/tuple/control.go
@@ -19,7 +19,7 @@
 	// reportInterval is how often the balancers that should get a report are looked for.
 	reportInterval = 50 * time.Millisecond
 	sweepInterval  = 200 * time.Millisecond
-	tickInterval   = 20 * time.Millisecond
+	tickInterval   = 25 * time.Millisecond
 	timerBatch     = 8 // datagrams
 )
 
--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -22,7 +22,7 @@
 const (
 	readBatch       = 32 // datagrams
 	writeBatch      = 32 // datagrams
-	timerResolution = 10 * time.Millisecond
+	timerResolution = 25 * time.Millisecond
 	// packetLines is how many lines about packets are logged each second.
 	packetLines = 20
 )
--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -15,7 +15,7 @@
 	// under the 3 s in which a change has to be in force.
 	checkInterval = 1800 * time.Millisecond
 	checkStagger  = 200 * time.Millisecond
-	checkTick     = 50 * time.Millisecond
+	checkTick     = 100 * time.Millisecond
 	maxCheckRank  = 4
 	// holdLimit is how long a new flow waits for an agent before it is refused.
 	holdLimit = 1200 * time.Millisecond
@@ -27,7 +27,7 @@
 	learnInterval = 50 * time.Millisecond
 	// listPause is the least pause between two reads of the members.
 	listPause     = 100 * time.Millisecond
-	tickInterval  = 10 * time.Millisecond
+	tickInterval  = 25 * time.Millisecond
 	sweepInterval = time.Second
 	// watchPause gathers changes that come in quick succession.
 	watchPause = 100 * time.Millisecond
--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -22,7 +22,7 @@
 	frontBatch      = 32 // datagrams
 	peerBatch       = 32 // datagrams
 	timerBatch      = 8  // datagrams
-	timerResolution = 10 * time.Millisecond
+	timerResolution = 25 * time.Millisecond
 )
 
 // A Config holds what a Node needs.
