--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -14,6 +15,7 @@
 	"github.com/cyclamendock/cyclamendock/lib/link"
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/member"
+	"github.com/cyclamendock/cyclamendock/lib/port"
 	"github.com/cyclamendock/cyclamendock/lib/stats"
 	"github.com/cyclamendock/cyclamendock/lib/store"
 	"github.com/cyclamendock/cyclamendock/lib/trust"
@@ -35,6 +37,7 @@
 	Codec        carry.Codec
 	First        bool // no process has run before
 	FlowLifetime time.Duration
+	Ignored      *port.Ignored
 	Inlet        netip.AddrPort // where the backend server receives packets
 	Log          *logs.Logger
 	Outlet       netip.AddrPort   // to which the backend server sends its packets
@@ -79,15 +82,19 @@
 			Service:      carry.ServiceIDOf(config.Service),
 			Zone:         carry.ServiceIDOf(config.Zone),
 		}),
-		clock:     clock.NewService(timerResolution),
-		config:    config,
-		ctx:       ctx,
-		directory: member.NewDirectory(config.Store, member.Member{Address: config.Address, Role: member.RoleAgent}),
-		rejoin:    make(chan struct{}, 1),
-		limiter:   logs.NewLimiter(packetLines),
-		meter:     newMeter(config.Stats),
-		server:    server,
-		stop:      stop,
+		clock:  clock.NewService(timerResolution),
+		config: config,
+		ctx:    ctx,
+		directory: member.NewDirectory(member.Config{
+			Ignored: config.Ignored,
+			Self:    member.Member{Address: config.Address, Role: member.RoleAgent},
+			Store:   config.Store,
+		}),
+		rejoin:  make(chan struct{}, 1),
+		limiter: logs.NewLimiter(packetLines),
+		meter:   newMeter(config.Stats),
+		server:  server,
+		stop:    stop,
 	}
 	n.registerGauges(config.Stats)
 	return n, n.open()
@@ -131,7 +138,7 @@
 	changed, err := n.server.Announce(now, a)
 	n.mu.Unlock()
 	if err != nil {
-		n.config.Log.Warn("Announcement refused.", logs.Fields{"born": a.Born, "error": err.Error(), "id": a.ID, "sequence": a.Sequence})
+		n.config.Ignored.Note(now, port.InputAnnouncement, fmt.Sprintf("%s born %d sequence %d", a.ID, a.Born, a.Sequence), err.Error())
 		return err
 	}
 	if changed {
--- a/agent/tuple/packets.go
+++ b/agent/tuple/packets.go
@@ -76,12 +76,12 @@
 
 func (n *Node) handle(now time.Time, out *port.Outlet, message []byte, from netip.AddrPort) {
 	if !n.config.Trust.Allows(from.Addr()) {
-		n.logLimited(now, "Ignored a message of an untrusted address.", logs.Fields{"from": from.String()})
+		n.config.Ignored.Note(now, port.InputUntrusted, from.String(), "the address is not trusted")
 		return
 	}
 	switch carry.KindOf(message) {
 	case carry.KindForward:
-		n.handleForward(now, out, message)
+		n.handleForward(now, out, message, from)
 	case carry.KindHello:
 		n.mu.Lock()
 		n.carrier.Greeted(now, carry.EndpointOf(from))
@@ -91,19 +91,19 @@
 	case carry.KindJoin:
 		n.joinSoon()
 	default:
-		n.logLimited(now, "Ignored an unknown message.", logs.Fields{"from": from.String()})
+		n.config.Ignored.Note(now, port.InputMessage, from.String(), "unknown kind")
 	}
 }
 
-func (n *Node) handleForward(now time.Time, out *port.Outlet, message []byte) {
+func (n *Node) handleForward(now time.Time, out *port.Outlet, message []byte, from netip.AddrPort) {
 	var f carry.Forward
 	if !f.Decode(message) {
-		n.logLimited(now, "Ignored a malformed message.", nil)
+		n.config.Ignored.Note(now, port.InputMessage, from.String(), "malformed message")
 		return
 	}
 	packet, ok := n.config.Codec.Decode(f.Datagram)
 	if !ok {
-		n.logLimited(now, "Ignored a malformed packet.", nil)
+		n.config.Ignored.Note(now, port.InputMessage, from.String(), "malformed packet inside")
 		return
 	}
 	n.mu.Lock()
@@ -121,7 +121,7 @@
 func (n *Node) handleServer(now time.Time, out *port.Outlet, datagram []byte, from netip.AddrPort) {
 	packet, ok := n.config.Codec.Decode(datagram)
 	if !ok {
-		n.logLimited(now, "Ignored a malformed packet.", logs.Fields{"from": from.String()})
+		n.config.Ignored.Note(now, port.InputServerPacket, from.String(), "malformed packet")
 		return
 	}
 	if packet.Flags.Has(carry.FlagBounced) {
@@ -168,12 +168,7 @@
 	if !ok {
 		return
 	}
-	if suppressed > 0 {
-		if fields == nil {
-			fields = logs.Fields{}
-		}
-		fields["suppressed"] = suppressed
-	}
+	fields["suppressed"] = suppressed
 	n.config.Log.Info(text, fields)
 }
 
--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -167,7 +167,7 @@
 func (n *Node) takeConfig(value []byte, source string) {
 	routes, err := n.config.Routes(value)
 	if err != nil {
-		n.config.Log.Error("The configuration can't be used.", err, logs.Fields{"source": source})
+		n.config.Ignored.Note(time.Now(), port.InputConfiguration, source, err.Error())
 		return
 	}
 	n.mu.Lock()
--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -13,6 +13,7 @@
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/member"
 	"github.com/cyclamendock/cyclamendock/lib/peer"
+	"github.com/cyclamendock/cyclamendock/lib/port"
 	"github.com/cyclamendock/cyclamendock/lib/stats"
 	"github.com/cyclamendock/cyclamendock/lib/store"
 	"github.com/cyclamendock/cyclamendock/lib/trust"
@@ -33,6 +34,7 @@
 	ConfigKey    string // of the configuration in the store
 	FlowLifetime time.Duration
 	Front        netip.AddrPort // for callers' packets
+	Ignored      *port.Ignored
 	Log          *logs.Logger
 	LostAfter    time.Duration // see carry.DirectorConfig
 	First        bool          // no process has run before
@@ -82,11 +84,15 @@
 			Self:         carry.EndpointOf(config.Address),
 			Zone:         carry.ServiceIDOf(config.Zone),
 		}),
-		directory: member.NewDirectory(config.Store, member.Member{Address: config.Address, Role: member.RoleBalancer}),
-		meter:     newMeter(config.Stats),
-		peers:     newPeers(config.Address, config.Seeds),
-		stop:      stop,
-		wakeList:  make(chan struct{}, 1),
+		directory: member.NewDirectory(member.Config{
+			Ignored: config.Ignored,
+			Self:    member.Member{Address: config.Address, Role: member.RoleBalancer},
+			Store:   config.Store,
+		}),
+		meter:    newMeter(config.Stats),
+		peers:    newPeers(config.Address, config.Seeds),
+		stop:     stop,
+		wakeList: make(chan struct{}, 1),
 	}
 	n.registerGauges(config.Stats)
 	return n, n.open()
--- a/balancer/tuple/packets.go
+++ b/balancer/tuple/packets.go
@@ -54,10 +54,10 @@
 	n.logClosed("processes", inlet.Loop())
 }
 
-func (n *Node) carry(now time.Time, out *port.Outlet, datagram []byte, _ netip.AddrPort) {
+func (n *Node) carry(now time.Time, out *port.Outlet, datagram []byte, from netip.AddrPort) {
 	packet, ok := n.config.Codec.Decode(datagram)
 	if !ok {
-		n.logMalformed(now, "a caller's packet")
+		n.config.Ignored.Note(now, port.InputCallerPacket, from.String(), "malformed packet")
 		return
 	}
 	n.mu.Lock()
@@ -68,7 +68,7 @@
 
 func (n *Node) handle(now time.Time, out *port.Outlet, message []byte, from netip.AddrPort) {
 	if !n.config.Trust.Allows(from.Addr()) {
-		n.logMalformed(now, "a message of an untrusted address")
+		n.config.Ignored.Note(now, port.InputUntrusted, from.String(), "the address is not trusted")
 		return
 	}
 	sender := carry.EndpointOf(from)
@@ -86,7 +86,7 @@
 		taken = false
 	}
 	if !taken {
-		n.logMalformed(now, "a message of another process")
+		n.config.Ignored.Note(now, port.InputMessage, from.String(), "unknown or malformed message")
 	}
 }
 
@@ -140,12 +140,6 @@
 	return true
 }
 
-func (n *Node) logMalformed(now time.Time, what string) {
-	if suppressed, ok := n.meter.drops.Allow(now); ok {
-		n.config.Log.Warn("Ignored "+what+".", logs.Fields{"suppressed": suppressed})
-	}
-}
-
 func (n *Node) logClosed(what string, err error) {
 	if n.ctx.Err() == nil {
 		n.config.Log.Error("The socket for "+what+" has failed.", err, nil)
--- a/lib/member/directory.go
+++ b/lib/member/directory.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"net/netip"
 	"strings"
+	"time"
 
 	"github.com/cyclamendock/cyclamendock/lib/fault"
+	"github.com/cyclamendock/cyclamendock/lib/port"
 	"github.com/cyclamendock/cyclamendock/lib/store"
 )
 
@@ -28,16 +30,20 @@
 	Role    Role
 }
 
+// A Config holds what a Directory needs.
+type Config struct {
+	Ignored *port.Ignored // takes note of entries that are no members
+	Self    Member
+	Store   store.Store
+}
+
 // A Directory registers one process and lists all.
 type Directory struct {
-	self  Member
-	store store.Store
+	config Config
 }
 
 // NewDirectory returns the directory of a process that is not registered yet.
-func NewDirectory(store store.Store, self Member) *Directory {
-	return &Directory{self: self, store: store}
-}
+func NewDirectory(config Config) *Directory { return &Directory{config: config} }
 
 // Join registers the process and returns all members as they were afterwards, so that of two processes that
 // join at once at least one sees the other. A process that was never registered is written first.
@@ -49,7 +55,7 @@
 		return d.List(ctx)
 	}
 	members, err := d.List(ctx)
-	if err != nil || contains(members, d.self) {
+	if err != nil || contains(members, d.config.Self) {
 		return members, err
 	}
 	if err := d.register(ctx); err != nil {
@@ -60,45 +66,48 @@
 
 // List returns all members, or an Unavailable fault.
 func (d *Directory) List(ctx context.Context) ([]Member, error) {
-	objects, err := d.store.List(ctx, Prefix)
+	objects, err := d.config.Store.List(ctx, Prefix)
 	if err != nil {
 		return nil, err
 	}
 	var members []Member
 	for _, object := range objects {
-		if member, ok := decode(object.Value); ok {
-			members = append(members, member)
+		member, ok := decode(object.Value)
+		if !ok {
+			d.config.Ignored.Note(time.Now(), port.InputMember, object.Key, "the entry is no member")
+			continue
 		}
+		members = append(members, member)
 	}
 	return members, nil
 }
 
 // Leave removes the process for good.
-func (d *Directory) Leave(ctx context.Context) error { return d.Remove(ctx, d.self.Address) }
+func (d *Directory) Leave(ctx context.Context) error { return d.Remove(ctx, d.config.Self.Address) }
 
 // Remove removes the member at an address for good.
 func (d *Directory) Remove(ctx context.Context, address netip.AddrPort) error {
-	return d.store.Delete(ctx, key(address))
+	return d.config.Store.Delete(ctx, key(address))
 }
 
 // register writes the process; an older entry of the same address is replaced.
 func (d *Directory) register(ctx context.Context) error {
-	value, err := json.Marshal(encoded{Address: d.self.Address.String(), Role: string(d.self.Role)})
+	value, err := json.Marshal(encoded{Address: d.config.Self.Address.String(), Role: string(d.config.Self.Role)})
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "a member can't be encoded", "report this")
 	}
-	_, err = d.store.Put(ctx, key(d.self.Address), value, 0)
+	_, err = d.config.Store.Put(ctx, key(d.config.Self.Address), value, 0)
 	if !fault.Is(err, fault.Stale) {
 		return err
 	}
-	object, err := d.store.Get(ctx, key(d.self.Address))
+	object, err := d.config.Store.Get(ctx, key(d.config.Self.Address))
 	if err != nil {
 		return err
 	}
-	if known, ok := decode(object.Value); ok && known == d.self {
+	if known, ok := decode(object.Value); ok && known == d.config.Self {
 		return nil
 	}
-	_, err = d.store.Put(ctx, key(d.self.Address), value, object.Version)
+	_, err = d.config.Store.Put(ctx, key(d.config.Self.Address), value, object.Version)
 	return err
 }
 
