--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -140,12 +140,10 @@
 	}
 }
 
-// checkDue reports whether it is this balancer's turn; the others follow one after the other when it is missed.
 func (n *Node) checkDue(now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	rank := min(n.peers.rank(now), maxCheckRank)
-	return n.director.Version() > 0 && now.Sub(n.checked) > checkInterval+time.Duration(rank)*checkStagger
+	return n.director.Version() > 0 && n.peers.checkDue(now, n.checked)
 }
 
 func (n *Node) check() {
--- /dev/null
+++ b/balancer/tuple/main_test.go
@@ -0,0 +1,9 @@
+package tuple
+
+import (
+	"testing"
+
+	"github.com/cyclamendock/cyclamendock/lib/proof"
+)
+
+func TestMain(m *testing.M) { proof.Main(m) }
--- a/balancer/tuple/peers.go
+++ b/balancer/tuple/peers.go
@@ -89,6 +89,13 @@
 	return rank
 }
 
+// checkDue reports whether it is this balancer's turn to read the configuration, which some balancer last read at the
+// given time; the others follow one after the other when a turn is missed.
+func (p *peers) checkDue(now, checked time.Time) bool {
+	rank := min(p.rank(now), maxCheckRank)
+	return now.Sub(checked) > checkInterval+time.Duration(rank)*checkStagger
+}
+
 func duty(agent carry.Endpoint, balancer netip.AddrPort) uint64 {
 	return xxhash.Sum64String(agent.String() + balancer.String())
 }
--- a/balancer/tuple/sync.go
+++ b/balancer/tuple/sync.go
@@ -7,6 +7,7 @@
 
 	"github.com/cyclamendock/cyclamendock/lib/carry"
 	"github.com/cyclamendock/cyclamendock/lib/logs"
+	"github.com/cyclamendock/cyclamendock/lib/port"
 )
 
 const (
@@ -105,20 +106,24 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, agent := range parse(known.Agents) {
+	for _, agent := range n.parse(now, known.Agents) {
 		n.director.Agents.Add(now, carry.EndpointOf(agent))
 	}
-	for _, balancer := range parse(known.Balancers) {
+	for _, balancer := range n.parse(now, known.Balancers) {
 		n.peers.add(balancer)
 	}
 }
 
-func parse(texts []string) []netip.AddrPort {
+// parse returns the addresses that another balancer named.
+func (n *Node) parse(now time.Time, texts []string) []netip.AddrPort {
 	var addresses []netip.AddrPort
 	for _, text := range texts {
-		if address, err := netip.ParseAddrPort(text); err == nil && address.Addr().Is4() {
-			addresses = append(addresses, address)
+		address, err := netip.ParseAddrPort(text)
+		if err != nil || !address.Addr().Is4() {
+			n.config.Ignored.Note(now, port.InputMessage, text, "no IPv4 address with a port")
+			continue
 		}
+		addresses = append(addresses, address)
 	}
 	return addresses
 }
--- /dev/null
+++ b/lib/member/directory_test.go
@@ -0,0 +1,118 @@
+package member
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/cyclamendock/cyclamendock/lib/logs"
+	"github.com/cyclamendock/cyclamendock/lib/port"
+	"github.com/cyclamendock/cyclamendock/lib/stats"
+	"github.com/cyclamendock/cyclamendock/lib/store"
+)
+
+var (
+	agent    = Member{Address: netip.MustParseAddrPort("10.1.0.7:7000"), Role: RoleAgent}
+	balancer = Member{Address: netip.MustParseAddrPort("10.1.0.8:7000"), Role: RoleBalancer}
+)
+
+// open returns the directory of a member, and where it logs what it ignores.
+func open(shared store.Store, self Member) (*Directory, *bytes.Buffer) {
+	var written bytes.Buffer
+	log := logs.New(logs.Config{Format: "logfmt", Level: "info", Writer: &written}, "test")
+	ignored := port.NewIgnored(log, stats.NewServer(stats.Config{}))
+	return NewDirectory(Config{Ignored: ignored, Self: self, Store: shared}), &written
+}
+
+func TestOfTwoThatJoinAtOnceTheSecondSeesBoth(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx := context.Background()
+	shared := store.NewMemory()
+	first, _ := open(shared, agent)
+	second, _ := open(shared, balancer)
+	members, err := first.Join(ctx, true)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(members).To(gomega.ConsistOf(agent))
+	members, err = second.Join(ctx, true)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(members).To(gomega.ConsistOf(agent, balancer))
+}
+
+func TestMemberThatIsListedIsNotWrittenAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx := context.Background()
+	shared := store.NewMemory()
+	directory, _ := open(shared, agent)
+	_, err := directory.Join(ctx, true)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	before, err := shared.Get(ctx, key(agent.Address))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, first := range []bool{true, false} {
+		members, err := directory.Join(ctx, first)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(members).To(gomega.ConsistOf(agent))
+	}
+	after, err := shared.Get(ctx, key(agent.Address))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(after.Version).To(gomega.Equal(before.Version))
+}
+
+func TestAddressThatChangesItsRoleIsWrittenAnew(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx := context.Background()
+	shared := store.NewMemory()
+	older, _ := open(shared, agent)
+	_, err := older.Join(ctx, true)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	newer, _ := open(shared, Member{Address: agent.Address, Role: RoleBalancer})
+	members, err := newer.Join(ctx, true)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(members).To(gomega.ConsistOf(Member{Address: agent.Address, Role: RoleBalancer}))
+}
+
+func TestEntriesThatAreNoMembersAreLoggedAndPassedOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx := context.Background()
+	shared := store.NewMemory()
+	for name, value := range map[string]string{
+		"garbage":  `{`,
+		"nowhere":  `{"address":"nowhere","role":"agent"}`,
+		"stranger": `{"address":"10.1.0.9:7000","role":"router"}`,
+	} {
+		_, err := shared.Put(ctx, Prefix+name, []byte(value), 0)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	directory, written := open(shared, agent)
+	members, err := directory.Join(ctx, true)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(members).To(gomega.ConsistOf(agent))
+	for _, name := range []string{"garbage", "nowhere", "stranger"} {
+		g.Expect(written.String()).To(gomega.ContainSubstring(Prefix + name))
+	}
+}
+
+func TestRemovedMemberJoinsAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx := context.Background()
+	shared := store.NewMemory()
+	a, _ := open(shared, agent)
+	b, _ := open(shared, balancer)
+	for _, directory := range []*Directory{a, b} {
+		_, err := directory.Join(ctx, true)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	g.Expect(b.Remove(ctx, agent.Address)).To(gomega.Succeed())
+	members, err := b.List(ctx)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(members).To(gomega.ConsistOf(balancer))
+	members, err = a.Join(ctx, false)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(members).To(gomega.ConsistOf(agent, balancer))
+	g.Expect(a.Leave(ctx)).To(gomega.Succeed())
+	members, err = b.List(ctx)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(members).To(gomega.ConsistOf(balancer))
+}
--- a/standin/tuple/objects.go
+++ b/standin/tuple/objects.go
@@ -76,6 +76,20 @@
 	o.put(kind, Object{Meta: Meta{Name: name}, Spec: value})
 }
 
+// Names returns the names of a kind's objects, in order.
+func (o *Objects) Names(kind string) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var names []string
+	for key := range o.objects {
+		if of, name, _ := strings.Cut(key, "/"); of == kind {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // SetMood changes how the store misbehaves.
 func (o *Objects) SetMood(mood Mood) {
 	o.mu.Lock()
