Let requests on open flows wait at the agent

Cause: only new flows waited at the agent. Change: a request that begins on an open flow waits with the new flows, newest first, while the backend server is too busy to meet its aim. All of its packets are kept; its caller's end removes it; a server that drains gets all at once. It is neither passed on nor refused, as its flow stays.

--- a/lib/carry/carrier.go
+++ b/lib/carry/carrier.go
@@ -12,7 +12,7 @@
 	openingLimit = 300 * time.Millisecond
 	// paceWeight is the weight of a new duration in the mean duration of requests.
 	paceWeight    = 0.1
-	queueCapacity = 256 // flows
+	queueCapacity = 256 // new flows and requests
 	// waitLimit is how long a new flow may wait; its caller gives up a little later.
 	waitLimit = 1200 * time.Millisecond
 )
@@ -114,6 +114,9 @@
 	if p.Opens() {
 		return c.open(now, f, p)
 	}
+	if c.hold(now, f, p) {
+		return AgentVerdict{Flow: p.FromCaller(), Reason: ReasonHeld}
+	}
 	c.follow(now, f, p)
 	return c.deliver(f, p)
 }
@@ -229,7 +232,7 @@
 		return c.pass(f, p)
 	}
 	flow := p.FromCaller()
-	if c.queue.Has(flow) {
+	if c.queue.find(flow) != nil {
 		return AgentVerdict{Flow: flow, Reason: ReasonHeld}
 	}
 	if _, repeated := c.flows.Get(now, flow); repeated {
@@ -268,54 +271,14 @@
 	}
 	load := c.load()
 	load.Busy += c.queue.Len()
-	kept := *f
-	kept.Datagram = nil
-	g := queuedFlow{datagram: slices.Clone(f.Datagram), forward: kept, packet: p, since: now}
-	if load.finish(f.Aim) > f.Timeout || !c.queue.add(g) {
+	if load.finish(f.Aim) > f.Timeout || !c.queue.add(newQueued(now, f, p, waitLimit)) {
 		f.Last = true
 		return c.pass(f, p)
 	}
 	return AgentVerdict{Action: AgentOwn, Flow: p.FromCaller(), Reason: ReasonHeld, To: f.Origin}
 }
 
-// Release returns the decisions about waiting flows that the backend server has room for now, that have to go
-// elsewhere because it takes no new ones any more, or that have waited too long.
-func (c *Carrier) Release(now time.Time) []AgentVerdict {
-	if c.config.Server.State(now) != StateReady {
-		return c.sendBack(c.queue.expire(now.Add(1)), false)
-	}
-	var verdicts []AgentVerdict
-	for {
-		g, ok := c.queue.peek()
-		if !ok || !c.load().meets(g.forward.Aim) {
-			break
-		}
-		known, taken := c.take(now, g.packet.FromCaller())
-		if !taken {
-			break
-		}
-		c.queue.pop()
-		known.balancer = g.forward.Origin
-		verdict := c.deliver(&g.forward, g.packet)
-		verdict.Datagram = g.datagram
-		verdicts = append(verdicts, verdict)
-	}
-	return append(verdicts, c.sendBack(c.queue.expire(now.Add(-waitLimit)), true)...)
-}
-
-// sendBack returns flows that have waited to their balancers; after the last time nobody else is asked.
-func (c *Carrier) sendBack(flows []queuedFlow, last bool) []AgentVerdict {
-	var verdicts []AgentVerdict
-	for _, g := range flows {
-		g.forward.Full, g.forward.Last = last, last
-		verdict := c.pass(&g.forward, g.packet)
-		verdict.Datagram = g.datagram
-		verdicts = append(verdicts, verdict)
-	}
-	return verdicts
-}
-
-// Waiting returns the number of waiting flows.
+// Waiting returns the number of new flows and requests that wait.
 func (c *Carrier) Waiting() int { return c.queue.Len() }
 
 // load returns the work of the backend server without what waits at this agent.
--- a/lib/carry/requests.go
+++ b/lib/carry/requests.go
@@ -45,8 +45,7 @@
 		c.idle(known)
 		return
 	}
-	end := p.Seq + uint32(p.Length)
-	if p.Length == 0 || !known.busy && known.sent && int32(end-known.next) <= 0 {
+	if p.Length == 0 || !known.busy && !known.brings(p) {
 		return // no data, or data of a request that has been answered
 	}
 	if !known.busy {
@@ -57,13 +56,18 @@
 		known.requested = true
 		known.since = now
 	}
-	if !known.sent || int32(end-known.next) > 0 {
-		known.next = end
+	if known.brings(p) {
+		known.next = p.Seq + uint32(p.Length)
 	}
 	known.sent = true
 	known.until = now.Add(f.Timeout)
 }
 
+// brings reports whether a packet has data that the caller had not sent before.
+func (h *held) brings(p Packet) bool {
+	return !h.sent || int32(p.Seq+uint32(p.Length)-h.next) > 0
+}
+
 // trackTentative remembers who sent data of a flow that this agent does not know. The agent may have restarted; whether the
 // flow is here shows in what the backend server does, and until then it counts as no work.
 func (c *Carrier) trackTentative(now time.Time, f *Forward, p Packet) {
--- a/lib/carry/waitqueue.go
+++ b/lib/carry/waitqueue.go
@@ -6,22 +6,31 @@
 	"time"
 )
 
-// A queuedFlow is a new flow that waits for the backend server to have room.
-type queuedFlow struct {
+// A queued entry is a new flow, or a request on an open flow, that waits for the backend server to have room.
+type queued struct {
+	forward Forward
+	open    bool // a request on an open flow
+	packets []queuedPacket
+	since   time.Time
+	until   time.Time
+}
+
+// A queuedPacket is one packet of an entry, with its bytes.
+type queuedPacket struct {
 	datagram []byte
-	forward  Forward
 	packet   Packet
-	since    time.Time
 }
 
-// A routeQueue is the waiting flows of one route.
+func (q *queued) flow() Flow { return q.packets[0].packet.FromCaller() }
+
+// A routeQueue is what waits of one route.
 type routeQueue struct {
-	flows   []queuedFlow // oldest first
-	service float64      // flows let in, counted so that a route that was idle does not catch up
+	entries []*queued // oldest first
+	service float64   // entries let in, counted so that a route that was idle does not catch up
 	urgency int
 }
 
-// A WaitQueue keeps new flows while a backend server is busy. Routes take turns, so that a flood on one
+// A WaitQueue keeps new flows and requests while a backend server is busy. Routes take turns, so that a flood on one
 // leaves the others their share, and within a route the newest goes first: it can still meet its aim, while for
 // those that have missed it a little longer makes no difference.
 type WaitQueue struct {
@@ -30,82 +39,105 @@
 	routes   map[Endpoint]*routeQueue
 }
 
-// NewWaitQueue returns an empty queue for up to capacity flows.
+// NewWaitQueue returns an empty queue for up to capacity entries.
 func NewWaitQueue(capacity int) *WaitQueue {
 	return &WaitQueue{capacity: capacity, routes: map[Endpoint]*routeQueue{}}
 }
 
-// Len returns the number of waiting flows.
+// Len returns the number of waiting entries.
 func (q *WaitQueue) Len() int { return q.count }
 
-// Has reports whether a flow waits.
-func (q *WaitQueue) Has(flow Flow) bool {
+// find returns the entry of a flow, or nil.
+func (q *WaitQueue) find(flow Flow) *queued {
 	known := q.routes[flow.Service]
-	return known != nil && slices.ContainsFunc(known.flows, func(g queuedFlow) bool { return g.packet.FromCaller() == flow })
+	if known == nil {
+		return nil
+	}
+	for _, entry := range known.entries {
+		if entry.flow() == flow {
+			return entry
+		}
+	}
+	return nil
 }
 
-// add lets a flow wait and reports false when the queue is full.
-func (q *WaitQueue) add(g queuedFlow) bool {
+// remove takes an entry out of the queue.
+func (q *WaitQueue) remove(entry *queued) {
+	known := q.routes[entry.flow().Service]
+	known.entries = slices.DeleteFunc(known.entries, func(other *queued) bool { return other == entry })
+	q.count--
+}
+
+// add lets an entry wait and reports false when the queue is full.
+func (q *WaitQueue) add(entry *queued) bool {
 	if q.count >= q.capacity {
 		return false
 	}
-	address := g.packet.Destination
+	address := entry.flow().Service
 	known := q.routes[address]
 	if known == nil {
 		known = &routeQueue{}
 		q.routes[address] = known
 	}
-	if len(known.flows) == 0 {
+	if len(known.entries) == 0 {
 		known.service = max(known.service, q.leastService())
 	}
-	known.flows = append(known.flows, g)
-	known.urgency = g.forward.Urgency
+	known.entries = append(known.entries, entry)
+	known.urgency = entry.forward.Urgency
 	q.count++
 	return true
 }
 
-// peek returns the flow whose turn it is.
-func (q *WaitQueue) peek() (queuedFlow, bool) {
+// peek returns the entry whose turn it is, or nil.
+func (q *WaitQueue) peek() *queued {
 	address, ok := q.turn()
 	if !ok {
-		return queuedFlow{}, false
+		return nil
 	}
-	flows := q.routes[address].flows
-	return flows[len(flows)-1], true
+	entries := q.routes[address].entries
+	return entries[len(entries)-1]
 }
 
-// pop removes the flow whose turn it is.
+// pop removes the entry whose turn it is.
 func (q *WaitQueue) pop() {
 	address, ok := q.turn()
 	if !ok {
 		return
 	}
 	known := q.routes[address]
-	known.flows = known.flows[:len(known.flows)-1]
+	known.entries = known.entries[:len(known.entries)-1]
 	known.service++
 	q.count--
 }
 
-// expire removes and returns the flows that came before a time.
-func (q *WaitQueue) expire(before time.Time) []queuedFlow {
-	var expired []queuedFlow
+// expire removes and returns the entries that have waited too long.
+func (q *WaitQueue) expire(now time.Time) []*queued {
+	return q.takeAll(func(entry *queued) bool { return now.After(entry.until) })
+}
+
+// takeAll removes and returns the entries for which a condition holds.
+func (q *WaitQueue) takeAll(holds func(*queued) bool) []*queued {
+	var taken []*queued
 	for _, known := range q.routes {
-		for len(known.flows) > 0 && known.flows[0].since.Before(before) {
-			expired = append(expired, known.flows[0])
-			known.flows = known.flows[1:]
-			q.count--
-		}
+		known.entries = slices.DeleteFunc(known.entries, func(entry *queued) bool {
+			if !holds(entry) {
+				return false
+			}
+			taken = append(taken, entry)
+			return true
+		})
 	}
-	slices.SortFunc(expired, func(x, y queuedFlow) int { return x.packet.FromCaller().Compare(y.packet.FromCaller()) })
-	return expired
+	q.count -= len(taken)
+	slices.SortFunc(taken, func(x, y *queued) int { return x.flow().Compare(y.flow()) })
+	return taken
 }
 
-// turn returns the route that has had least, and of several the most urgent one.
+// turn returns the route that has had least, of several the most urgent one.
 func (q *WaitQueue) turn() (Endpoint, bool) {
 	var best Endpoint
 	found := false
 	for address, known := range q.routes {
-		if len(known.flows) == 0 {
+		if len(known.entries) == 0 {
 			continue
 		}
 		if !found || q.precedes(address, best) {
@@ -126,12 +158,12 @@
 	return x.Compare(y) < 0
 }
 
-// leastService returns what the route with waiting flows that has had least has had.
+// leastService returns what the route with waiting entries that has had least has had.
 func (q *WaitQueue) leastService() float64 {
 	least := 0.0
 	found := false
 	for _, known := range q.routes {
-		if len(known.flows) > 0 && (!found || known.service < least) {
+		if len(known.entries) > 0 && (!found || known.service < least) {
 			least, found = known.service, true
 		}
 	}
