Let an agent without a backend server join with its first one

A host whose backend server had ended for good, and whose agent had left the members, came back after a power loss for 0.2 s. Its new agent joined, then was gone without a word. For the next 4 s no flow's end could be proved, as that agent might have held it: 700 packets "asked", callers waited until their time limits. Ruled out: counting a silent agent that had reported no flows as empty; a balancer may have missed a later report. Change: an agent that is no member when it starts holds no flows of before, as it leaves the members only once its backend server has ended. It joins with the first announcement. When the store does not answer within 100 ms it counts as a member and joins as before. Test first: standin/tuple TestAgentWithoutAServerJoinsWithItsFirst.

--- a/agent/tuple/control.go
+++ b/agent/tuple/control.go
@@ -1,6 +1,7 @@
 package tuple
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
@@ -13,6 +14,8 @@
 const (
 	// changeRepeats is how often a change of state is reported again.
 	changeRepeats = 2
+	// enterLimit is how long the list of members may take before this agent counts as one of them.
+	enterLimit = 100 * time.Millisecond
 	// joinPause is the least pause between two entries into the members.
 	joinPause    = 5 * time.Second
 	leaveTimeout = time.Second
@@ -77,20 +80,52 @@
 	out.Flush()
 }
 
-// runMembers joins the members and reports to the balancers among them, again whenever a balancer misses this agent.
+// runMembers enters the members and reports to the balancers among them, again whenever a balancer misses this agent.
 func (n *Node) runMembers() {
-	first := n.config.First
+	n.enter()
 	for n.ctx.Err() == nil {
-		n.join(first)
-		first = false
 		port.Sleep(n.ctx, joinPause)
 		select {
 		case <-n.rejoin:
+			n.join(false)
 		case <-n.ctx.Done():
 		}
 	}
 }
 
+// enter joins the members, unless this agent has left them or never was one: then its backend server holds no flows of
+// before, and it joins with the first announcement. Otherwise balancers would wait for its answer about every flow if
+// its host went away without a backend server ever having run there.
+func (n *Node) enter() {
+	if n.config.First {
+		n.join(true)
+		return
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, enterLimit)
+	members, err := n.directory.List(ctx)
+	cancel()
+	switch {
+	case err != nil:
+		n.config.Log.Warn("The members can't be read in time.", logs.Fields{"error": err.Error()})
+		n.join(false)
+	case n.directory.Lists(members):
+		n.greet(n.config.Seeds)
+		n.takeMembers(members)
+	default:
+		n.config.Log.Info("Waits for a backend server before it joins.", logs.Fields{"members": len(members)})
+		n.waitForServer()
+		n.join(true)
+	}
+}
+
+func (n *Node) waitForServer() {
+	select {
+	case <-n.rejoin:
+	case <-n.serverSeen:
+	case <-n.ctx.Done():
+	}
+}
+
 func (n *Node) join(first bool) {
 	port.Retry(n.ctx, func() error {
 		n.greet(n.config.Seeds)
--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -51,21 +51,22 @@
 
 // A Node is one agent process.
 type Node struct {
-	announced chan struct{} // a changed announcement has to be reported
-	carrier   *carry.Carrier
-	clock     *clock.Service
-	config    Config
-	ctx       context.Context
-	directory *member.Directory
-	inlet     *net.UDPConn
-	limiter   *logs.Limiter
-	meter     *meter
-	mu        sync.Mutex // guards carrier and server
-	outlet    *link.Socket
-	rejoin    chan struct{}
-	server    *carry.Server
-	socket    *link.Socket
-	stop      context.CancelFunc
+	announced  chan struct{} // a changed announcement has to be reported
+	carrier    *carry.Carrier
+	clock      *clock.Service
+	config     Config
+	ctx        context.Context
+	directory  *member.Directory
+	inlet      *net.UDPConn
+	limiter    *logs.Limiter
+	meter      *meter
+	mu         sync.Mutex // guards carrier and server
+	outlet     *link.Socket
+	rejoin     chan struct{}
+	server     *carry.Server
+	serverSeen chan struct{} // the backend server has changed
+	socket     *link.Socket
+	stop       context.CancelFunc
 }
 
 // New opens the sockets of an agent, or returns an Unavailable fault when an address is taken.
@@ -90,11 +91,12 @@
 			Self:    member.Member{Address: config.Address, Role: member.RoleAgent},
 			Store:   config.Store,
 		}),
-		rejoin:  make(chan struct{}, 1),
-		limiter: logs.NewLimiter(packetLines),
-		meter:   newMeter(config.Stats),
-		server:  server,
-		stop:    stop,
+		rejoin:     make(chan struct{}, 1),
+		limiter:    logs.NewLimiter(packetLines),
+		meter:      newMeter(config.Stats),
+		server:     server,
+		serverSeen: make(chan struct{}, 1),
+		stop:       stop,
 	}
 	n.registerGauges(config.Stats)
 	return n, n.open()
@@ -144,10 +146,19 @@
 	if changed {
 		n.config.Log.Info("Backend server changed.", logs.Fields{"born": a.Born, "id": a.ID, "sequence": a.Sequence, "state": a.State.String()})
 		n.reportSoon()
+		n.seeServer()
 	}
 	return nil
 }
 
+// seeServer lets an agent join that waits for its first backend server.
+func (n *Node) seeServer() {
+	select {
+	case n.serverSeen <- struct{}{}:
+	default:
+	}
+}
+
 // Leave records that the backend server has ended.
 func (n *Node) Leave(id string) {
 	n.mu.Lock()
--- a/lib/member/directory.go
+++ b/lib/member/directory.go
@@ -82,6 +82,9 @@
 	return members, nil
 }
 
+// Lists reports whether the process is among members.
+func (d *Directory) Lists(members []Member) bool { return contains(members, d.config.Self) }
+
 // Leave removes the process for good.
 func (d *Directory) Leave(ctx context.Context) error { return d.Remove(ctx, d.config.Self.Address) }
 
--- a/standin/tuple/leave_test.go
+++ b/standin/tuple/leave_test.go
@@ -30,6 +30,16 @@
 	return states
 }
 
+// leave tells an agent that its backend server has ended for good.
+func leave(g *gomega.WithT, s *Stage, i int) {
+	announce := fmt.Sprintf("http://%s/v1/instances/i-%d", netip.AddrPortFrom(s.host(2, i), announcePort), i)
+	request, err := http.NewRequest(http.MethodDelete, announce, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(response.Body.Close()).To(gomega.Succeed())
+}
+
 func TestAgentThatEndsSaysSoAndIsBelievedAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := startTestStage(t, 98)
@@ -47,12 +57,7 @@
 	s := startTestStage(t, 99)
 	flows := openFlows(g, s, "open", 10)
 	s.Backend(0).Crash()
-	announce := fmt.Sprintf("http://%s/v1/instances/i-0", netip.AddrPortFrom(s.host(2, 0), announcePort))
-	request, err := http.NewRequest(http.MethodDelete, announce, nil)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	response, err := http.DefaultClient.Do(request)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(response.Body.Close()).To(gomega.Succeed())
+	leave(g, s, 0)
 	agent := s.Process("agent-0")
 	agent.Signal(syscall.SIGTERM)
 	g.Expect(agent.WaitEnd(requestLimit)).To(gomega.BeTrue())
@@ -63,3 +68,22 @@
 		}
 	}
 }
+
+func TestAgentWithoutAServerJoinsWithItsFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startTestStage(t, 97)
+	s.Backend(0).Crash()
+	leave(g, s, 0)
+	agent := s.Process("agent-0")
+	agent.Signal(syscall.SIGTERM)
+	g.Expect(agent.WaitEnd(requestLimit)).To(gomega.BeTrue())
+	g.Expect(s.StartAgain("agent-0")).To(gomega.Succeed())
+	g.Consistently(func() []string { return statesOf(g, s, 0) }, 5*soon, soon).Should(gomega.BeEmpty())
+	g.Expect(s.Objects.Names("cyclamendock-members")).To(gomega.HaveLen(6))
+	g.Expect(s.Replace(0)).To(gomega.Succeed())
+	g.Eventually(func() []string { return statesOf(g, s, 0) }, requestLimit, soon).
+		Should(gomega.Equal([]string{"ready", "ready", "ready"}))
+	g.Expect(s.Objects.Names("cyclamendock-members")).To(gomega.HaveLen(7))
+	openFlows(g, s, "open", 20)
+	checkBackends(g, s)
+}
--- a/standin/tuple/stage.go
+++ b/standin/tuple/stage.go
@@ -1,6 +1,7 @@
 package tuple
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -111,6 +112,20 @@
 // Process returns the process of a balancer or an agent by name, such as balancer-0.
 func (s *Stage) Process(name string) *stage.Process { return s.processes[name] }
 
+// StartAgain starts a process that has ended, which then knows that it has run before.
+func (s *Stage) StartAgain(name string) error {
+	path := filepath.Join(s.config.Dir, name+".json")
+	settings, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	settings = bytes.Replace(settings, []byte(`"firstStart": true`), []byte(`"firstStart": false`), 1)
+	if err := os.WriteFile(path, settings, 0o600); err != nil {
+		return err
+	}
+	return s.processes[name].Start()
+}
+
 // Stop ends everything that the stage started.
 func (s *Stage) Stop() {
 	for _, process := range s.processes {
