--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -38,6 +38,7 @@
 	Log          *logs.Logger
 	LostAfter    time.Duration // see carry.DirectorConfig
 	First        bool          // no process has run before
+	Policy       carry.Policy
 	Routes       func(value []byte) (carry.Routes, error)
 	Seeds        []netip.AddrPort // processes that may know the members
 	Stats        *stats.Server
@@ -81,6 +82,7 @@
 			FlowLifetime: config.FlowLifetime,
 			HoldLimit:    holdLimit,
 			LostAfter:    config.LostAfter,
+			Policy:       config.Policy,
 			Self:         carry.EndpointOf(config.Address),
 			Zone:         carry.ServiceIDOf(config.Zone),
 		}),
--- a/lib/carry/agents_test.go
+++ b/lib/carry/agents_test.go
@@ -79,6 +79,6 @@
 	now := time.Unix(0, 0)
 	a := heardAgents(now, 1)
 	a.Report(now, testEndpoint(2, 0), Report{Service: ServiceIDOf("nachweise"), Slots: 7, State: StateReady})
-	g.Expect(a.candidates(now, ServiceIDOf(testService), testFlow(1), 0, nil)).To(gomega.BeEmpty())
-	g.Expect(a.candidates(now, ServiceIDOf("nachweise"), testFlow(1), 0, nil)).To(gomega.HaveLen(1))
+	g.Expect(a.candidates(now, ServiceIDOf(testService), testFlow(1), nil)).To(gomega.BeEmpty())
+	g.Expect(a.candidates(now, ServiceIDOf("nachweise"), testFlow(1), nil)).To(gomega.HaveLen(1))
 }
--- a/lib/carry/director.go
+++ b/lib/carry/director.go
@@ -72,7 +72,8 @@
 	FlowLifetime time.Duration // of an idle flow
 	HoldLimit    time.Duration // that a new flow waits for an agent to take it
 	LostAfter    time.Duration // of silence, after which an agent's flows have ended for their callers
-	Self         Endpoint      // for messages between processes
+	Policy       Policy
+	Self         Endpoint // for messages between processes
 	Zone         ServiceID
 }
 
@@ -159,7 +160,7 @@
 
 // ownerOf returns the agent that is known to hold a flow, and its service, which may be one that the route had before.
 func (d *Director) ownerOf(now time.Time, route Route, flow Flow) (Endpoint, ServiceID, bool) {
-	owner, ok := d.hints.Get(now, flow)
+	owner, ok := d.hint(now, flow)
 	if !ok || d.Agents.Lost(now, owner) {
 		return Endpoint{}, 0, false
 	}
@@ -170,6 +171,14 @@
 	return owner, service, slices.Contains(d.servicesOf(flow.Service, route.Service(flow)), service)
 }
 
+// hint returns the agent that is remembered to hold a flow.
+func (d *Director) hint(now time.Time, flow Flow) (Endpoint, bool) {
+	if d.config.Policy.WithoutHints {
+		return Endpoint{}, false
+	}
+	return d.hints.Get(now, flow)
+}
+
 // Returned decides about a packet that every agent on its list has refused.
 func (d *Director) Returned(now time.Time, f *Forward, p Packet) Verdict {
 	flow := p.FromCaller()
@@ -177,7 +186,7 @@
 	if !ok {
 		return d.unrouted(now, p)
 	}
-	if owner, ok := d.hints.Get(now, flow); ok && slices.Contains(f.Asked, owner) {
+	if owner, ok := d.hint(now, flow); ok && slices.Contains(f.Asked, owner) {
 		d.hints.Delete(flow)
 	}
 	if p.Opens() {
@@ -305,7 +314,7 @@
 	if _, held := d.waits[flow]; held {
 		return Verdict{Flow: flow, Reason: ReasonHeld}
 	}
-	if owner, ok := d.hints.Get(now, flow); ok && !d.Agents.Suspect(now, owner) && d.Agents.State(owner) == StateReady {
+	if owner, ok := d.hint(now, flow); ok && !d.Agents.Suspect(now, owner) && d.Agents.State(owner) == StateReady {
 		return d.forward(now, route, p, route.Service(flow), []Endpoint{owner}, nil)
 	}
 	verdict := d.place(now, route, p, nil)
@@ -319,7 +328,10 @@
 func (d *Director) place(now time.Time, route Route, p Packet, skip []Endpoint) Verdict {
 	flow := p.FromCaller()
 	service := route.Service(flow)
-	list := d.Agents.candidates(now, service, flow, d.config.Zone, skip)
+	list := d.Agents.candidates(now, service, flow, skip)
+	if !d.config.Policy.OrderOnly {
+		d.Agents.sortByCost(list, d.config.Zone)
+	}
 	if len(list) == 0 {
 		return Verdict{Flow: flow, Reason: ReasonNoAgent}
 	}
--- a/lib/carry/place.go
+++ b/lib/carry/place.go
@@ -17,23 +17,27 @@
 	zoneMargin = 0.1
 )
 
-// candidates returns the agents that a new flow is offered to, the best first.
-func (a *Agents) candidates(now time.Time, service ServiceID, flow Flow, zone ServiceID, skip []Endpoint) []Endpoint {
-	var chosen []*agent
+// candidates returns the agents that a new flow is offered to, in its order.
+func (a *Agents) candidates(now time.Time, service ServiceID, flow Flow, skip []Endpoint) []Endpoint {
+	var chosen []Endpoint
 	a.used[service] = now
 	for _, member := range a.ranked(service, flow) {
 		if !member.eligible(now) || slices.Contains(skip, member.address) {
 			continue
 		}
-		chosen = append(chosen, member)
+		chosen = append(chosen, member.address)
 		if len(chosen) == candidateCount {
 			break
 		}
 	}
-	slices.SortStableFunc(chosen, func(x, y *agent) int {
-		return cmp.Compare(x.cost(zone), y.cost(zone))
+	return chosen
+}
+
+// sortByCost puts the candidates with the least work first, those in the zone before others that are about as busy.
+func (a *Agents) sortByCost(candidates []Endpoint, zone ServiceID) {
+	slices.SortStableFunc(candidates, func(x, y Endpoint) int {
+		return cmp.Compare(a.byAddress[x].cost(zone), a.byAddress[y].cost(zone))
 	})
-	return addresses(chosen)
 }
 
 // leastLoaded returns the eligible agent of a service with the lowest utilisation.
@@ -88,11 +92,3 @@
 	}
 	return cost
 }
-
-func addresses(agents []*agent) []Endpoint {
-	list := make([]Endpoint, len(agents))
-	for i, member := range agents {
-		list[i] = member.address
-	}
-	return list
-}
--- a/lib/carry/search.go
+++ b/lib/carry/search.go
@@ -71,7 +71,7 @@
 // prove asks for a fresh list of members before a flow that no known agent holds is ended.
 func (d *Director) prove(now time.Time, p Packet, known *search) Verdict {
 	flow := p.FromCaller()
-	if len(known.no) == 0 || p.Flags.Has(FlagReset) {
+	if len(known.no) == 0 || p.Flags.Has(FlagReset) || d.config.Policy.WithoutProofs {
 		return Verdict{Flow: flow, Reason: ReasonNoAgent, Request: p.Request}
 	}
 	if _, asked := d.proofs[flow]; !asked && len(d.proofs) < searchCapacity {
