--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,8 @@
 	./bin/standin bench
 
 measures: build
-	./bin/standin measures --seed $(SEED)
+	mkdir -p docs/plots
+	./bin/standin measures --seed $(SEED) --plots docs/plots
 
 disturb: build
 	./bin/standin soak --seed $(SEED) --seeds $(ROUNDS)
--- a/standin/measures.go
+++ b/standin/measures.go
@@ -18,7 +18,8 @@
 )
 
 type measuresCommand struct {
-	Seed uint64 `help:"First of five seeds." default:"1"`
+	Plots string `help:"Directory for the plots of carried flows; none are drawn without it." type:"existingdir"`
+	Seed  uint64 `help:"First of five seeds." default:"1"`
 }
 
 type namedPolicy struct {
@@ -30,7 +31,10 @@
 func (c *measuresCommand) Run() error {
 	c.printPlacement()
 	c.printHeat()
-	return c.printFloods()
+	if err := c.printFloods(); err != nil {
+		return err
+	}
+	return c.printFlows()
 }
 
 func policies() []namedPolicy {
