Order waiting flows by when their callers first asked

Cause: after a power loss callers repeat their opening packets 200 and 600 ms after the first. Each counted as the newest and went before callers that had just come and could still be served in time. Change: the adapter reads how old an opening packet's first is; waiting flows at agent and balancer are ordered and expire by that.

--- a/lib/carry/director.go
+++ b/lib/carry/director.go
@@ -376,7 +376,7 @@
 	if len(d.waits) >= waitCapacity {
 		return reset(p, ReasonNoAgent)
 	}
-	d.waits[flow] = waiting{datagram: slices.Clone(datagram), packet: p, since: now}
+	d.waits[flow] = waiting{datagram: slices.Clone(datagram), packet: p, since: now.Add(-p.Age)}
 	return Verdict{Flow: flow, Reason: ReasonHeld}
 }
 
--- a/lib/carry/hold.go
+++ b/lib/carry/hold.go
@@ -8,14 +8,17 @@
 // maxQueuedPackets is how many packets of a waiting request are kept, as many as a caller sends without an answer.
 const maxQueuedPackets = 16
 
+// newQueued returns the entry of a packet whose caller has wanted something since the packet's age and gives up after
+// the limit.
 func newQueued(now time.Time, f *Forward, p Packet, limit time.Duration) *queued {
 	kept := *f
 	kept.Datagram = nil
+	since := now.Add(-p.Age)
 	return &queued{
 		forward: kept,
 		packets: []queuedPacket{{datagram: slices.Clone(f.Datagram), packet: p}},
-		since:   now,
-		until:   now.Add(limit),
+		since:   since,
+		until:   since.Add(limit),
 	}
 }
 
--- a/lib/carry/packet.go
+++ b/lib/carry/packet.go
@@ -1,5 +1,7 @@
 package carry
 
+import "time"
+
 // Flags are the control bits of a packet.
 type Flags uint8
 
@@ -18,6 +20,7 @@
 // A Packet is what the system reads of one datagram of a flow.
 type Packet struct {
 	Ack         uint32
+	Age         time.Duration // of the opening packet that this one repeats, as far as its caller tells
 	Destination Endpoint
 	Echo        uint32 // opaque to the two ends; the agent's position in its table of deliveries
 	Flags       Flags
--- a/lib/carry/waitqueue.go
+++ b/lib/carry/waitqueue.go
@@ -82,7 +82,13 @@
 	if len(known.entries) == 0 {
 		known.service = max(known.service, q.leastService())
 	}
-	known.entries = append(known.entries, entry)
+	at, _ := slices.BinarySearchFunc(known.entries, entry.since, func(other *queued, since time.Time) int {
+		if other.since.After(since) {
+			return 1
+		}
+		return -1
+	})
+	known.entries = slices.Insert(known.entries, at, entry)
 	known.urgency = entry.forward.Urgency
 	q.count++
 	return true
--- a/standin/model/callers.go
+++ b/standin/model/callers.go
@@ -17,8 +17,8 @@
 	openingLimit = 1400 * time.Millisecond
 )
 
-// openingRepeats are when a caller repeats its opening packet.
-var openingRepeats = []time.Duration{200 * time.Millisecond, 600 * time.Millisecond}
+// openingRepeats are when a caller sends its opening packet.
+var openingRepeats = []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
 
 // A request is what a caller wants once.
 type request struct {
@@ -121,14 +121,14 @@
 
 // open sends the packet that opens a flow, and again while nothing comes back.
 func (f *flows) open(a *attempt) {
-	send := func() {
-		if f.waiting[a.flow] == a && !a.open {
-			f.send(f.packetOf(a, carry.FlagSyn, 0))
-		}
-	}
-	send()
 	for _, repeat := range openingRepeats {
-		f.clock.after(repeat, send)
+		f.clock.after(repeat, func() {
+			if f.waiting[a.flow] == a && !a.open {
+				p := f.packetOf(a, carry.FlagSyn, 0)
+				p.Age = repeat
+				f.send(p)
+			}
+		})
 	}
 	f.clock.after(openingLimit, func() {
 		if f.waiting[a.flow] == a && !a.open {
