Build the QUIC daemons from one set of settings and parts

Change: setup.Process holds what both settings files share and checks it; daemon.Parts holds the client, clock, logs, store, metrics, traces and trust that both nodes are made of.

--- a/agent/node/control.go
+++ b/agent/node/control.go
@@ -46,7 +46,7 @@
 	n.mean.Store(n.lease.Mean())
 	n.mu.Unlock()
 	if before != after {
-		n.log.Info("New incarnation.", logs.Fields{"incarnation": after})
+		n.Log.Info("New incarnation.", logs.Fields{"incarnation": after})
 	}
 	n.updateTakes(now)
 	for _, need := range needs {
@@ -72,10 +72,10 @@
 
 // runTimers drives everything that depends on time.
 func (n *Node) runTimers() {
-	beats := n.clock.Subscribe(fleet.HeartbeatInterval)
-	slots := n.clock.Subscribe(slotsInterval)
-	states := n.clock.Subscribe(stateInterval)
-	sweeps := n.clock.Subscribe(sweepInterval)
+	beats := n.Clock.Subscribe(fleet.HeartbeatInterval)
+	slots := n.Clock.Subscribe(slotsInterval)
+	states := n.Clock.Subscribe(stateInterval)
+	sweeps := n.Clock.Subscribe(sweepInterval)
 	for {
 		select {
 		case now := <-beats:
@@ -87,8 +87,8 @@
 			n.tickDrain(now)
 		case now := <-sweeps:
 			n.endpoint.Sweep(now)
-			n.calls.Sweep(now)
-		case <-n.ctx.Done():
+			n.Calls.Sweep(now)
+		case <-n.Ctx.Done():
 			return
 		}
 	}
@@ -131,8 +131,8 @@
 
 func (n *Node) tickSlots(now time.Time) {
 	if broken := n.slots.Tick(now); broken != "" {
-		n.stats.Counter("cyclamendock_invariants_broken_total").Inc()
-		n.log.Warn("Invariant broken.", logs.Fields{"what": broken})
+		n.Stats.Counter("cyclamendock_invariants_broken_total").Inc()
+		n.Log.Warn("Invariant broken.", logs.Fields{"what": broken})
 	}
 }
 
@@ -149,10 +149,10 @@
 
 // runFetchBalancers replaces the list of balancers.
 func (n *Node) runFetchBalancers(from netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(n.Ctx, callTimeout)
 	defer cancel()
 	var reply peer.Records
-	if err := n.calls.Call(ctx, from, peer.MethodBalancers, peer.Empty{}, &reply); err != nil {
+	if err := n.Calls.Call(ctx, from, peer.MethodBalancers, peer.Empty{}, &reply); err != nil {
 		return
 	}
 	aged, ok := fleet.DecodeRecords(reply.Encoded)
@@ -170,7 +170,7 @@
 	n.mu.Lock()
 	n.lease.SetBalancers(records)
 	n.mu.Unlock()
-	n.trust.SetMembers(addressesOf(records))
+	n.Trust.SetMembers(addressesOf(records))
 	n.endpoint.SetBalancers(addressesOf(n.regionOf(records)))
 }
 
--- a/agent/node/follow.go
+++ b/agent/node/follow.go
@@ -22,14 +22,14 @@
 
 // bootstrap learns balancers and configuration from the platform; the seeds serve while it is down.
 func (n *Node) bootstrap() {
-	if head, _, err := config.ReadHead(n.ctx, n.platform); err == nil {
-		if whole, err := config.Materialize(n.ctx, n.platform, head); err == nil {
+	if head, _, err := config.ReadHead(n.Ctx, n.Platform); err == nil {
+		if whole, err := config.Materialize(n.Ctx, n.Platform, head); err == nil {
 			n.offerWhole(whole)
 		}
 	}
-	objects, err := n.platform.List(n.ctx, fleetPrefix)
+	objects, err := n.Platform.List(n.Ctx, fleetPrefix)
 	if err != nil {
-		n.log.Warn("The platform does not answer at start.", logs.Fields{"reason": err.Error()})
+		n.Log.Warn("The platform does not answer at start.", logs.Fields{"reason": err.Error()})
 		return
 	}
 	var balancers []fleet.Record
@@ -47,17 +47,17 @@
 // runPull fetches the configuration from a balancer that holds a newer one.
 func (n *Node) runPull(from netip.AddrPort) {
 	if err := n.pull(from); err != nil {
-		n.log.Debug("Pulling the configuration failed.", logs.Fields{"from": from.String(), "reason": err.Error()})
+		n.Log.Debug("Pulling the configuration failed.", logs.Fields{"from": from.String(), "reason": err.Error()})
 	}
 }
 
 func (n *Node) pull(from netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(n.Ctx, callTimeout)
 	defer cancel()
 	n.mu.Lock()
 	since := n.holder.Current().Version
 	n.mu.Unlock()
-	update, err := follow.Pull(ctx, n.calls, from, since)
+	update, err := follow.Pull(ctx, n.Calls, from, since)
 	if err != nil {
 		return err
 	}
@@ -85,11 +85,11 @@
 	n.mu.Lock()
 	current := n.holder.Current()
 	n.mu.Unlock()
-	n.log.Info("Configuration in force.", logs.Fields{"version": current.Version})
+	n.Log.Info("Configuration in force.", logs.Fields{"version": current.Version})
 	n.applyOperatorDrain(current)
 	service, ok := current.Service(n.settings.Service)
 	if !ok {
-		n.log.Warn("The configuration has no such service.", logs.Fields{"service": n.settings.Service})
+		n.Log.Warn("The configuration has no such service.", logs.Fields{"service": n.settings.Service})
 		return
 	}
 	n.slots.Configure(now, service)
@@ -124,14 +124,14 @@
 
 // runActivate seals with a new key after it has been held for long enough.
 func (n *Node) runActivate(number uint8) {
-	ctx, cancel := context.WithTimeout(n.ctx, keyHold)
+	ctx, cancel := context.WithTimeout(n.Ctx, keyHold)
 	defer cancel()
 	<-ctx.Done()
 	n.mu.Lock()
 	current := n.holder.Current()
 	n.mu.Unlock()
 	service, ok := current.Service(n.settings.Service)
-	if ok && current.ActiveKey == number && n.ctx.Err() == nil {
+	if ok && current.ActiveKey == number && n.Ctx.Err() == nil {
 		n.installKeys(current, service.ID, number)
 	}
 }
@@ -143,7 +143,7 @@
 	}
 	keyring, err := connid.NewKeyring(keys, active)
 	if err != nil {
-		n.log.Error("The connection ID keys can't be used.", err, nil)
+		n.Log.Error("The connection ID keys can't be used.", err, nil)
 		return
 	}
 	n.mu.Lock()
--- a/agent/node/leave.go
+++ b/agent/node/leave.go
@@ -45,16 +45,16 @@
 	for _, action := range actions {
 		switch action {
 		case drain.Announce:
-			n.log.Info("Draining.", logs.Fields{"flows": n.flows.Load()})
+			n.Log.Info("Draining.", logs.Fields{"flows": n.flows.Load()})
 			n.setState(fleet.StateDraining)
 			go n.runShutdown(n.replaceServer())
 		case drain.Cut:
-			n.log.Warn("Drain limit reached.", logs.Fields{"flows": n.flows.Load()})
+			n.Log.Warn("Drain limit reached.", logs.Fields{"flows": n.flows.Load()})
 			n.cutFlows()
 		case drain.Exit:
 			close(n.exited)
 		case drain.Resume:
-			n.log.Info("Taking new flows again.", nil)
+			n.Log.Info("Taking new flows again.", nil)
 			n.setState(fleet.StateAlive)
 		}
 	}
@@ -93,19 +93,19 @@
 
 // runProbe follows the backend server's own word.
 func (n *Node) runProbe() {
-	ticks := n.clock.Subscribe(probeInterval)
+	ticks := n.Clock.Subscribe(probeInterval)
 	for {
 		select {
 		case <-ticks:
 			n.probe()
-		case <-n.ctx.Done():
+		case <-n.Ctx.Done():
 			return
 		}
 	}
 }
 
 func (n *Node) probe() {
-	health := n.backend.Probe(n.ctx)
+	health := n.backend.Probe(n.Ctx)
 	n.unhealthy.Store(health == serve.HealthUnreachable)
 	switch health {
 	case serve.HealthDraining:
--- a/agent/node/node.go
+++ b/agent/node/node.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,8 +16,8 @@
 	"github.com/cyclamendock/cyclamendock/agent/flow"
 	"github.com/cyclamendock/cyclamendock/agent/serve"
 	"github.com/cyclamendock/cyclamendock/lib/admit"
-	"github.com/cyclamendock/cyclamendock/lib/clock"
 	"github.com/cyclamendock/cyclamendock/lib/config"
+	"github.com/cyclamendock/cyclamendock/lib/daemon"
 	"github.com/cyclamendock/cyclamendock/lib/drain"
 	"github.com/cyclamendock/cyclamendock/lib/fault"
 	"github.com/cyclamendock/cyclamendock/lib/fleet"
@@ -26,11 +25,7 @@
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/peer"
 	"github.com/cyclamendock/cyclamendock/lib/ring"
-	"github.com/cyclamendock/cyclamendock/lib/stats"
 	"github.com/cyclamendock/cyclamendock/lib/steer"
-	"github.com/cyclamendock/cyclamendock/lib/store"
-	"github.com/cyclamendock/cyclamendock/lib/trace"
-	"github.com/cyclamendock/cyclamendock/lib/trust"
 )
 
 const (
@@ -41,12 +36,11 @@
 
 // A Node is one agent process.
 type Node struct {
+	daemon.Parts
+
 	activeKey uint8 // with which connection IDs are sealed
 	backend   *serve.Backend
-	calls     *peer.Client
-	clock     *clock.Service
 	control   *ring.Ring[flow.Control]
-	ctx       context.Context
 	drain     *drain.Machine
 	endpoint  *flow.Endpoint
 	exited    chan struct{}
@@ -56,45 +50,39 @@
 	holder    *config.Holder
 	http      *http3.Server
 	lease     *fleet.Lease
-	log       *logs.Logger
 	mean      atomic.Uint32 // load of the service
 	mu        sync.Mutex    // guards activeKey, drain, fetched, holder, http, lease and open
 	open      map[*quic.Conn]bool
-	platform  store.Store
 	runs      *serve.Runs
 	server    *peer.Server
 	settings  Settings
 	slots     *serve.Slots
 	socket    *link.Socket
-	stats     *stats.Server
-	stop      context.CancelFunc
 	takes     atomic.Bool // new flows
-	tracer    *trace.Tracer
-	trust     *trust.List
 	unhealthy atomic.Bool // nobody listens at the backend server's address
 }
 
 // New opens the sockets of an agent, or returns an Unavailable fault when an address is taken.
 func New(settings Settings) (*Node, error) {
-	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{
-		calls:    peer.NewClient(),
-		clock:    clock.NewService(timerResolution),
 		control:  ring.New[flow.Control](controlDepth),
-		ctx:      ctx,
 		drain:    drain.NewMachine(drain.Config{FlowLimit: settings.DrainLimit, Linger: drainLinger}),
 		exited:   make(chan struct{}),
 		holder:   &config.Holder{},
 		lease:    fleet.NewLease(recordOf(settings)),
-		log:      logs.New(logs.Config{Format: settings.Log.Format, Level: settings.Log.Level, Writer: os.Stderr}, "agent"),
 		open:     map[*quic.Conn]bool{},
-		platform: store.NewClient(store.ClientConfig{URL: settings.PlatformURL}),
 		settings: settings,
 		slots:    serve.NewSlots(time.Now()),
-		stop:     stop,
-		trust:    trust.NewList(settings.TrustedNetworks),
 	}
-	n.stats = stats.NewServer(stats.Config{Address: settings.Metrics, Healthy: n.healthy})
+	var err error
+	if n.Parts, err = daemon.NewParts(daemon.PartsConfig{
+		Healthy:         n.healthy,
+		Name:            "agent",
+		Process:         settings.Process,
+		TimerResolution: timerResolution,
+	}); err != nil {
+		return nil, err
+	}
 	return n, n.build()
 }
 
@@ -103,12 +91,12 @@
 	n.bootstrap()
 	n.endpoint.Start()
 	n.server.Start()
-	n.clock.Start()
+	n.Clock.Start()
 	go n.runAccept()
 	go n.runControl()
 	go n.runTimers()
 	go n.runProbe()
-	n.log.Info("Started.", logs.Fields{"address": n.settings.Address.String(), "name": n.settings.Name})
+	n.Log.Info("Started.", logs.Fields{"address": n.settings.Address.String(), "name": n.settings.Name})
 	<-ctx.Done()
 	n.beginDrain(drain.CauseSignal)
 	<-n.exited
@@ -131,20 +119,13 @@
 
 func (n *Node) build() error {
 	var err error
-	if n.tracer, err = trace.NewTracer(trace.Config{
-		Output:  n.settings.Trace.Output,
-		Process: n.settings.Name,
-		Ratio:   n.settings.Trace.Ratio,
-	}); err != nil {
-		return err
-	}
 	if err := n.buildServing(); err != nil {
 		return err
 	}
 	if n.server, err = peer.NewServer(peer.ServerConfig{
 		Address:  n.settings.Address,
 		Services: map[string]any{"Agent": &serve.Agent{Runs: n.runs}},
-		Trust:    n.trust,
+		Trust:    n.Trust,
 	}); err != nil {
 		return err
 	}
@@ -152,26 +133,26 @@
 		return err
 	}
 	n.registerGauges()
-	return n.stats.Start()
+	return n.Stats.Start()
 }
 
 func (n *Node) buildServing() error {
 	n.backend = serve.NewBackend(serve.BackendConfig{
 		Address:    n.settings.BackendServer,
 		HealthPath: n.settings.HealthPath,
-		Tracer:     n.tracer,
+		Tracer:     n.Tracer,
 	})
 	n.runs = serve.NewRuns(serve.RunsConfig{
 		Address: n.settings.Address,
 		Boot:    n.lease.Self().Boot,
-		Calls:   n.calls,
+		Calls:   n.Calls,
 	})
 	n.handler = serve.NewHandler(serve.HandlerConfig{
 		Backend: n.backend,
 		Runs:    n.runs,
 		Slots:   n.slots,
-		Stats:   n.stats,
-		Tracer:  n.tracer,
+		Stats:   n.Stats,
+		Tracer:  n.Tracer,
 	})
 	n.http = n.newServer()
 	return nil
@@ -192,10 +173,10 @@
 		Load:        n.load,
 		Policy:      n.settings.Placement,
 		Socket:      n.socket,
-		Stats:       n.stats,
+		Stats:       n.Stats,
 		TLS:         tlsConfig,
-		Tracer:      n.tracer,
-		Trust:       n.trust,
+		Tracer:      n.Tracer,
+		Trust:       n.Trust,
 	})
 	return err
 }
@@ -219,7 +200,7 @@
 // runAccept serves each new flow.
 func (n *Node) runAccept() {
 	for {
-		conn, err := n.endpoint.Accept(n.ctx)
+		conn, err := n.endpoint.Accept(n.Ctx)
 		if err != nil {
 			return
 		}
@@ -237,8 +218,8 @@
 	n.slots.Try(time.Now())
 	_ = server.ServeQUICConn(conn)
 	cause := endOf(context.Cause(conn.Context()))
-	n.stats.Counter("cyclamendock_agent_flows_ended_total", "cause", cause).Inc()
-	n.log.Debug("Flow ended.", logs.Fields{"caller": conn.RemoteAddr().String(), "cause": cause})
+	n.Stats.Counter("cyclamendock_agent_flows_ended_total", "cause", cause).Inc()
+	n.Log.Debug("Flow ended.", logs.Fields{"caller": conn.RemoteAddr().String(), "cause": cause})
 	n.flows.Add(-1)
 	n.mu.Lock()
 	delete(n.open, conn)
@@ -262,15 +243,12 @@
 }
 
 func (n *Node) close() {
-	n.log.Info("Stopped.", nil)
-	n.stop()
+	n.Log.Info("Stopped.", nil)
+	n.Stop()
 	n.endpoint.Close()
 	n.server.Close()
 	n.control.Close()
-	n.clock.Stop()
-	n.stats.Close()
-	n.calls.Close()
-	n.tracer.Close()
+	n.Parts.Close()
 }
 
 func (n *Node) healthy() error {
@@ -281,17 +259,17 @@
 }
 
 func (n *Node) registerGauges() {
-	n.stats.Gauge("cyclamendock_config_version", func() float64 {
+	n.Stats.Gauge("cyclamendock_config_version", func() float64 {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		return float64(n.holder.Current().Version)
 	})
-	n.stats.Gauge("cyclamendock_agent_flows", func() float64 { return float64(n.flows.Load()) })
-	n.stats.Gauge("cyclamendock_agent_load", func() float64 { return float64(n.load().Self) })
-	n.stats.Gauge("cyclamendock_agent_mean_load", func() float64 { return float64(n.mean.Load()) })
-	n.stats.Gauge("cyclamendock_agent_speed", func() float64 { return float64(n.slots.Usage(0).Speed) / 1000 })
-	n.stats.Gauge("cyclamendock_agent_waiting", func() float64 { return float64(n.slots.Usage(0).Waiting) })
-	n.stats.Gauge("cyclamendock_agent_takes_flows", func() float64 {
+	n.Stats.Gauge("cyclamendock_agent_flows", func() float64 { return float64(n.flows.Load()) })
+	n.Stats.Gauge("cyclamendock_agent_load", func() float64 { return float64(n.load().Self) })
+	n.Stats.Gauge("cyclamendock_agent_mean_load", func() float64 { return float64(n.mean.Load()) })
+	n.Stats.Gauge("cyclamendock_agent_speed", func() float64 { return float64(n.slots.Usage(0).Speed) / 1000 })
+	n.Stats.Gauge("cyclamendock_agent_waiting", func() float64 { return float64(n.slots.Usage(0).Waiting) })
+	n.Stats.Gauge("cyclamendock_agent_takes_flows", func() float64 {
 		if n.takes.Load() {
 			return 1
 		}
--- a/agent/node/settings.go
+++ b/agent/node/settings.go
@@ -15,45 +15,29 @@
 
 // Settings are the checked settings of an agent.
 type Settings struct {
-	Address          netip.AddrPort // UDP and TCP, towards balancers and other agents
-	AvailabilityZone string
-	BackendServer    netip.AddrPort
-	CertificateFile  string        // empty for a certificate made at start
-	DrainLimit       time.Duration // zero means that open flows are never cut
-	HealthPath       string
-	KeyFile          string
-	Log              setup.LogSection
-	Metrics          netip.AddrPort
-	Name             string
-	Placement        steer.Policy
-	PlatformURL      string
-	Region           string
-	Seeds            []netip.AddrPort // balancers
-	Service          string
-	Trace            setup.TraceSection
-	TrustedNetworks  []netip.Prefix
-	Weight           uint32
+	setup.Process
+
+	BackendServer   netip.AddrPort
+	CertificateFile string        // empty for a certificate made at start
+	DrainLimit      time.Duration // zero means that open flows are never cut
+	HealthPath      string
+	KeyFile         string
+	Placement       steer.Policy
+	Service         string
+	Weight          uint32
 }
 
 type settingsJSON struct {
-	Address          string             `json:"address"`
-	AvailabilityZone string             `json:"availabilityZone"`
-	BackendServer    string             `json:"backendServer"`
-	CertificateFile  string             `json:"certificateFile"`
-	DrainLimit       string             `json:"drainLimit"`
-	HealthPath       string             `json:"healthPath"`
-	KeyFile          string             `json:"keyFile"`
-	Log              setup.LogSection   `json:"log"`
-	MetricsAddress   string             `json:"metricsAddress"`
-	Name             string             `json:"name"`
-	Placement        string             `json:"placement"`
-	PlatformURL      string             `json:"platformUrl"`
-	Region           string             `json:"region"`
-	Seeds            []string           `json:"seeds"`
-	Service          string             `json:"service"`
-	Trace            setup.TraceSection `json:"trace"`
-	TrustedNetworks  []string           `json:"trustedNetworks"`
-	Weight           uint32             `json:"weight"`
+	setup.ProcessFile
+
+	BackendServer   string `json:"backendServer"`
+	CertificateFile string `json:"certificateFile"`
+	DrainLimit      string `json:"drainLimit"`
+	HealthPath      string `json:"healthPath"`
+	KeyFile         string `json:"keyFile"`
+	Placement       string `json:"placement"`
+	Service         string `json:"service"`
+	Weight          uint32 `json:"weight"`
 }
 
 var placements = map[string]steer.Policy{
@@ -72,24 +56,15 @@
 	check := setup.NewChecker(path)
 	placement := check.OneOf("placement", raw.Placement, "compareMean", "compareTwo", "firstBelowLimit", "hashOnly")
 	settings := Settings{
-		Address:          check.Address("address", raw.Address),
-		AvailabilityZone: check.Required("availabilityZone", raw.AvailabilityZone),
-		BackendServer:    check.Address("backendServer", raw.BackendServer),
-		CertificateFile:  raw.CertificateFile,
-		DrainLimit:       check.Duration("drainLimit", raw.DrainLimit, 0),
-		HealthPath:       raw.HealthPath,
-		KeyFile:          raw.KeyFile,
-		Log:              check.Log(raw.Log),
-		Metrics:          check.Address("metricsAddress", raw.MetricsAddress),
-		Name:             check.Required("name", raw.Name),
-		Placement:        placements[placement],
-		PlatformURL:      check.Required("platformUrl", raw.PlatformURL),
-		Region:           check.Required("region", raw.Region),
-		Seeds:            check.Addresses("seeds", raw.Seeds),
-		Service:          check.Required("service", raw.Service),
-		Trace:            check.Trace(raw.Trace),
-		TrustedNetworks:  check.SomeNetworks("trustedNetworks", raw.TrustedNetworks),
-		Weight:           raw.Weight,
+		BackendServer:   check.Address("backendServer", raw.BackendServer),
+		CertificateFile: raw.CertificateFile,
+		DrainLimit:      check.Duration("drainLimit", raw.DrainLimit, 0),
+		HealthPath:      raw.HealthPath,
+		KeyFile:         raw.KeyFile,
+		Placement:       placements[placement],
+		Process:         check.Process(raw.ProcessFile),
+		Service:         check.Required("service", raw.Service),
+		Weight:          raw.Weight,
 	}
 	if (raw.CertificateFile == "") != (raw.KeyFile == "") {
 		check.Fail("keyFile", "and certificateFile must come together", "give both or neither")
--- a/balancer/node/calls.go
+++ b/balancer/node/calls.go
@@ -75,16 +75,16 @@
 // runPull fetches the configuration from a process that holds a newer one.
 func (n *Node) runPull(from netip.AddrPort) {
 	if err := n.pull(from); err != nil {
-		n.log.Debug("Pulling the configuration failed.", logs.Fields{"from": from.String(), "reason": err.Error()})
+		n.Log.Debug("Pulling the configuration failed.", logs.Fields{"from": from.String(), "reason": err.Error()})
 	}
 }
 
 func (n *Node) pull(from netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(n.Ctx, callTimeout)
 	defer cancel()
 	var since uint64
 	n.state.locked(func() { since = n.state.version() })
-	update, err := follow.Pull(ctx, n.calls, from, since)
+	update, err := follow.Pull(ctx, n.Calls, from, since)
 	if err != nil {
 		return err
 	}
@@ -101,18 +101,18 @@
 		return
 	}
 	n.refresh(time.Now())
-	n.log.Info("Configuration in force.", logs.Fields{"version": version})
+	n.Log.Info("Configuration in force.", logs.Fields{"version": version})
 	n.sendProbes()
 }
 
 // runExchange makes this balancer and another one know the same members.
 func (n *Node) runExchange(with netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(n.Ctx, callTimeout)
 	defer cancel()
 	var args peer.ExchangeArgs
 	n.state.locked(func() { args.Buckets = n.state.replica.BucketDigests() })
 	var reply peer.ExchangeReply
-	if err := n.calls.Call(ctx, with, peer.MethodExchange, args, &reply); err != nil {
+	if err := n.Calls.Call(ctx, with, peer.MethodExchange, args, &reply); err != nil {
 		return
 	}
 	records, ok := fleet.DecodeRecords(reply.Encoded)
@@ -124,6 +124,6 @@
 	var ours peer.Records
 	n.state.locked(func() { ours.Encoded = fleet.EncodeRecords(n.state.replica.Differing(now, reply.Buckets)) })
 	if len(ours.Encoded) > 0 {
-		_ = n.calls.Call(ctx, with, peer.MethodPush, ours, &peer.Empty{})
+		_ = n.Calls.Call(ctx, with, peer.MethodPush, ours, &peer.Empty{})
 	}
 }
--- a/balancer/node/control.go
+++ b/balancer/node/control.go
@@ -67,7 +67,7 @@
 }
 
 func (n *Node) logMember(record fleet.Record) {
-	n.log.Info("Member changed.", logs.Fields{
+	n.Log.Info("Member changed.", logs.Fields{
 		"incarnation": record.Incarnation,
 		"member":      record.Name,
 		"state":       record.State.String(),
@@ -138,9 +138,9 @@
 
 // runTimers drives everything that depends on time.
 func (n *Node) runTimers() {
-	beats := n.clock.Subscribe(fleet.HeartbeatInterval)
-	rumors := n.clock.Subscribe(rumorInterval)
-	sweeps := n.clock.Subscribe(sweepInterval)
+	beats := n.Clock.Subscribe(fleet.HeartbeatInterval)
+	rumors := n.Clock.Subscribe(rumorInterval)
+	sweeps := n.Clock.Subscribe(sweepInterval)
 	for {
 		select {
 		case now := <-beats:
@@ -149,9 +149,9 @@
 			n.sendRumors(now)
 			n.refresh(now)
 		case now := <-sweeps:
-			n.calls.Sweep(now)
+			n.Calls.Sweep(now)
 			n.state.locked(func() { n.state.replica.Expire(now) })
-		case <-n.ctx.Done():
+		case <-n.Ctx.Done():
 			return
 		}
 	}
@@ -177,8 +177,8 @@
 		n.state.updateSuspects(now)
 	})
 	if broken != "" {
-		n.stats.Counter("cyclamendock_invariants_broken_total").Inc()
-		n.log.Warn("Invariant broken.", logs.Fields{"what": broken})
+		n.Stats.Counter("cyclamendock_invariants_broken_total").Inc()
+		n.Log.Warn("Invariant broken.", logs.Fields{"what": broken})
 	}
 	n.sendTo(keepers, beat.Append(nil))
 	for _, ballot := range ballots {
--- a/balancer/node/node.go
+++ b/balancer/node/node.go
@@ -3,21 +3,17 @@
 import (
 	"context"
 	"math/rand/v2"
-	"os"
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/balancer/relay"
-	"github.com/cyclamendock/cyclamendock/lib/clock"
+	"github.com/cyclamendock/cyclamendock/lib/daemon"
 	"github.com/cyclamendock/cyclamendock/lib/fault"
 	"github.com/cyclamendock/cyclamendock/lib/fleet"
 	"github.com/cyclamendock/cyclamendock/lib/link"
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/peer"
 	"github.com/cyclamendock/cyclamendock/lib/ring"
-	"github.com/cyclamendock/cyclamendock/lib/stats"
 	"github.com/cyclamendock/cyclamendock/lib/steer"
-	"github.com/cyclamendock/cyclamendock/lib/store"
-	"github.com/cyclamendock/cyclamendock/lib/trace"
 	"github.com/cyclamendock/cyclamendock/lib/trust"
 )
 
@@ -30,41 +26,34 @@
 
 // A Node is one balancer process.
 type Node struct {
-	calls    *peer.Client
-	clock    *clock.Service
+	daemon.Parts
+
 	control  *ring.Ring[relay.Control]
-	ctx      context.Context
-	log      *logs.Logger
-	platform store.Store
 	relay    *relay.Relay
 	server   *peer.Server
 	settings Settings
 	socket   *link.Socket
 	state    *State
-	stats    *stats.Server
-	stop     context.CancelFunc
 	table    *steer.Table
-	tracer   *trace.Tracer
-	trust    *trust.List
 }
 
 // New opens the sockets of a balancer, or returns an Unavailable fault when an address is taken.
 func New(settings Settings) (*Node, error) {
-	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{
-		calls:    peer.NewClient(),
-		clock:    clock.NewService(timerResolution),
 		control:  ring.New[relay.Control](controlDepth),
-		ctx:      ctx,
-		log:      logs.New(logs.Config{Format: settings.Log.Format, Level: settings.Log.Level, Writer: os.Stderr}, "balancer"),
-		platform: store.NewClient(store.ClientConfig{URL: settings.PlatformURL}),
 		settings: settings,
-		stop:     stop,
 		table:    steer.NewTable(),
-		trust:    trust.NewList(settings.TrustedNetworks),
+	}
+	var err error
+	if n.Parts, err = daemon.NewParts(daemon.PartsConfig{
+		Healthy:         n.healthy,
+		Name:            "balancer",
+		Process:         settings.Process,
+		TimerResolution: timerResolution,
+	}); err != nil {
+		return nil, err
 	}
 	n.state = newState(time.Now(), n.record(), rand.Uint64())
-	n.stats = stats.NewServer(stats.Config{Address: settings.Metrics, Healthy: n.healthy})
 	return n, n.open()
 }
 
@@ -74,25 +63,18 @@
 	n.refresh(time.Now())
 	n.relay.Start()
 	n.server.Start()
-	n.clock.Start()
+	n.Clock.Start()
 	go n.runControl()
 	go n.runTimers()
 	go n.runScribe()
 	go n.runWatch()
-	n.log.Info("Started.", logs.Fields{"address": n.settings.Address.String(), "name": n.settings.Name})
+	n.Log.Info("Started.", logs.Fields{"address": n.settings.Address.String(), "name": n.settings.Name})
 	<-ctx.Done()
 	n.leave()
 }
 
 func (n *Node) open() error {
 	var err error
-	if n.tracer, err = trace.NewTracer(trace.Config{
-		Output:  n.settings.Trace.Output,
-		Process: n.settings.Name,
-		Ratio:   n.settings.Trace.Ratio,
-	}); err != nil {
-		return err
-	}
 	if n.socket, err = link.Listen(n.settings.Address); err != nil {
 		return err
 	}
@@ -103,21 +85,21 @@
 		Fabric:      trust.NewList(n.settings.FabricNetworks),
 		Front:       n.settings.Front,
 		MaxDatagram: n.settings.MaxDatagram,
-		Stats:       n.stats,
-		Tracer:      n.tracer,
-		Trust:       n.trust,
+		Stats:       n.Stats,
+		Tracer:      n.Tracer,
+		Trust:       n.Trust,
 	}); err != nil {
 		return err
 	}
 	if n.server, err = peer.NewServer(peer.ServerConfig{
 		Address:  n.settings.Address,
 		Services: map[string]any{"Fleet": &Fleet{node: n}},
-		Trust:    n.trust,
+		Trust:    n.Trust,
 	}); err != nil {
 		return err
 	}
 	n.registerGauges()
-	return n.stats.Start()
+	return n.Stats.Start()
 }
 
 func (n *Node) record() fleet.Record {
@@ -135,7 +117,7 @@
 
 // leave tells the fleet that this balancer drains, waits for late datagrams and ends.
 func (n *Node) leave() {
-	n.log.Info("Stopping.", nil)
+	n.Log.Info("Stopping.", nil)
 	now := time.Now()
 	n.state.locked(func() {
 		n.state.lease.SetState(fleet.StateDraining)
@@ -143,16 +125,13 @@
 	})
 	n.sendRumors(now)
 	time.Sleep(stopLinger)
-	n.stop()
+	n.Stop()
 	n.relay.Close()
 	n.server.Close()
 	n.socket.Close()
 	n.control.Close()
-	n.clock.Stop()
-	n.stats.Close()
-	n.calls.Close()
-	n.tracer.Close()
-	n.log.Info("Stopped.", nil)
+	n.Parts.Close()
+	n.Log.Info("Stopped.", nil)
 }
 
 // refresh gives the forwarding goroutines a new view when anything has changed.
@@ -165,13 +144,13 @@
 	n.state.changed = false
 	view, err := buildView(now, n.table, n.state.holder.Current(), n.state.replica.Live(fleet.RoleAgent), n.state.suspects)
 	if err != nil {
-		n.log.Error("The configuration can't be used.", err, nil)
+		n.Log.Error("The configuration can't be used.", err, nil)
 		return
 	}
 	n.table = view.Table
-	n.trust.SetMembers(n.state.memberAddresses())
+	n.Trust.SetMembers(n.state.memberAddresses())
 	if err := n.relay.SetView(view); err != nil {
-		n.log.Error("A service address can't be used.", err, nil)
+		n.Log.Error("A service address can't be used.", err, nil)
 	}
 }
 
@@ -185,15 +164,15 @@
 }
 
 func (n *Node) registerGauges() {
-	n.stats.Gauge("cyclamendock_config_version", func() float64 {
+	n.Stats.Gauge("cyclamendock_config_version", func() float64 {
 		var version uint64
 		n.state.locked(func() { version = n.state.version() })
 		return float64(version)
 	})
-	n.stats.Gauge("cyclamendock_balancer_members", func() float64 {
+	n.Stats.Gauge("cyclamendock_balancer_members", func() float64 {
 		var members int
 		n.state.locked(func() { members = len(n.state.memberAddresses()) })
 		return float64(members)
 	})
-	n.stats.Gauge("cyclamendock_balancer_control_dropped_total", func() float64 { return float64(n.control.Dropped()) })
+	n.Stats.Gauge("cyclamendock_balancer_control_dropped_total", func() float64 { return float64(n.control.Dropped()) })
 }
--- a/balancer/node/platform.go
+++ b/balancer/node/platform.go
@@ -21,9 +21,9 @@
 func (n *Node) bootstrap() {
 	now := time.Now()
 	if err := n.readConfig(); err != nil {
-		n.log.Warn("The platform does not answer at start.", logs.Fields{"reason": err.Error()})
+		n.Log.Warn("The platform does not answer at start.", logs.Fields{"reason": err.Error()})
 	}
-	objects, err := n.platform.List(n.ctx, fleetPrefix)
+	objects, err := n.Platform.List(n.Ctx, fleetPrefix)
 	if err == nil {
 		n.platformAnswered()
 	}
@@ -44,7 +44,7 @@
 
 // readConfig takes the configuration that the platform holds.
 func (n *Node) readConfig() error {
-	head, _, err := config.ReadHead(n.ctx, n.platform)
+	head, _, err := config.ReadHead(n.Ctx, n.Platform)
 	if err != nil {
 		return err
 	}
@@ -60,7 +60,7 @@
 		gap = n.state.offer(head.Entries)
 	})
 	if gap {
-		whole, err := config.Materialize(n.ctx, n.platform, head)
+		whole, err := config.Materialize(n.Ctx, n.Platform, head)
 		if err != nil {
 			return err
 		}
@@ -73,7 +73,7 @@
 // runWatch follows the platform's configuration while this balancer is one of its zone's watchers.
 func (n *Node) runWatch() {
 	var seen uint64
-	for n.ctx.Err() == nil {
+	for n.Ctx.Err() == nil {
 		var rank int
 		n.state.locked(func() { rank = n.state.rank() })
 		if rank >= fleet.ScribeCount {
@@ -85,7 +85,7 @@
 }
 
 func (n *Node) watchOnce(seen uint64) uint64 {
-	object, err := n.platform.Watch(n.ctx, config.HeadKey, seen)
+	object, err := n.Platform.Watch(n.Ctx, config.HeadKey, seen)
 	if fault.Is(err, fault.Missing) {
 		n.platformAnswered()
 		return seen
@@ -100,7 +100,7 @@
 		err = n.takeHead(head)
 	}
 	if err != nil {
-		n.log.Error("The platform's configuration can't be used.", err, nil)
+		n.Log.Error("The platform's configuration can't be used.", err, nil)
 		n.pause(watchBackoff)
 		return seen
 	}
@@ -109,12 +109,12 @@
 
 // runScribe keeps the zone's object in step with the membership.
 func (n *Node) runScribe() {
-	ticks := n.clock.Subscribe(scribeInterval)
+	ticks := n.Clock.Subscribe(scribeInterval)
 	for {
 		select {
 		case now := <-ticks:
 			n.scribe(now)
-		case <-n.ctx.Done():
+		case <-n.Ctx.Done():
 			return
 		}
 	}
@@ -137,7 +137,7 @@
 func (n *Node) zoneKey() string { return fleetPrefix + n.settings.AvailabilityZone }
 
 func (n *Node) loadZone(now time.Time) {
-	object, err := n.platform.Get(n.ctx, n.zoneKey())
+	object, err := n.Platform.Get(n.Ctx, n.zoneKey())
 	if fault.Is(err, fault.Missing) {
 		n.platformAnswered()
 		n.state.locked(func() { n.state.scribe.Loaded(0, 0) })
@@ -150,7 +150,7 @@
 	n.platformAnswered()
 	records, ok := fleet.DecodeRecords(object.Value)
 	if !ok {
-		n.log.Warn("The zone's object is malformed and will be replaced.", logs.Fields{"key": n.zoneKey()})
+		n.Log.Warn("The zone's object is malformed and will be replaced.", logs.Fields{"key": n.zoneKey()})
 	}
 	n.mergeRecords(now, records)
 	n.state.locked(func() { n.state.scribe.Loaded(object.Version, fleet.DigestOfAll(records)) })
@@ -178,7 +178,7 @@
 }
 
 func (n *Node) put(key string, value []byte, version uint64) (store.Object, error) {
-	object, err := n.platform.Put(n.ctx, key, value, version)
+	object, err := n.Platform.Put(n.Ctx, key, value, version)
 	if err == nil {
 		n.platformAnswered()
 	}
@@ -190,7 +190,7 @@
 }
 
 func (n *Node) pause(d time.Duration) {
-	ctx, cancel := context.WithTimeout(n.ctx, d)
+	ctx, cancel := context.WithTimeout(n.Ctx, d)
 	defer cancel()
 	<-ctx.Done()
 }
--- a/lib/daemon/doc.go
+++ b/lib/daemon/doc.go
@@ -1,2 +1,2 @@
-// Package daemon is the command line that every daemon of the system has.
+// Package daemon holds what every daemon of the system has: its command line and the parts that a node is made of.
 package daemon
--- a/lib/wire/forward.go
+++ b/lib/wire/forward.go
@@ -78,14 +78,8 @@
 	if KindOf(b) != KindForward {
 		return false
 	}
-	b = b[1:]
-	for len(b) > 0 {
-		var item fields.Field
-		var ok bool
-		item, b, ok = fields.Next(b)
-		if !ok || !f.set(item) {
-			return false
-		}
+	if !fields.Decode(b[1:], f.set) {
+		return false
 	}
 	if !f.Return.IsValid() {
 		f.Return = f.Caller
--- a/lib/wire/return.go
+++ b/lib/wire/return.go
@@ -33,22 +33,17 @@
 	if KindOf(b) != KindReturn {
 		return false
 	}
-	b = b[1:]
-	for len(b) > 0 {
-		var item fields.Field
-		var ok bool
-		item, b, ok = fields.Next(b)
-		if !ok {
-			return false
-		}
-		switch item.Number {
-		case returnService:
-			r.Service = uint16(item.Value)
-		case returnAddress:
-			r.Return = fields.UnpackAddress(item.Value)
-		case returnDatagram:
-			r.Datagram = item.Bytes
-		}
+	return fields.Decode(b[1:], r.set) && r.Return.IsValid() && len(r.Datagram) > 0
+}
+
+func (r *Return) set(item fields.Field) bool {
+	switch item.Number {
+	case returnService:
+		r.Service = uint16(item.Value)
+	case returnAddress:
+		r.Return = fields.UnpackAddress(item.Value)
+	case returnDatagram:
+		r.Datagram = item.Bytes
 	}
-	return r.Return.IsValid() && len(r.Datagram) > 0
+	return true
 }
