--- a/agent/tuple/observe.go
+++ b/agent/tuple/observe.go
@@ -83,6 +83,7 @@
 			"route":      e.Flow.Service.String(),
 			"suppressed": suppressed,
 			"took":       e.Took.Round(time.Millisecond).String(),
+			"waited":     e.Waited.Round(time.Millisecond).String(),
 		})
 	}
 }
--- a/lib/carry/carrier.go
+++ b/lib/carry/carrier.go
@@ -76,8 +76,9 @@
 	requested   bool   // the request in progress has come; else only the flow that will bring it
 	sent        bool   // the caller has sent data
 	since       time.Time
-	tentative   bool      // nothing has shown yet that the backend server holds it
-	until       time.Time // when the caller of the request in progress has given up
+	tentative   bool          // nothing has shown yet that the backend server holds it
+	until       time.Time     // when the caller of the request in progress has given up
+	waited      time.Duration // of the request in progress, or of the flow before it was let in
 }
 
 // A Carrier decides for one agent what happens to packets of flows.
--- a/lib/carry/hold.go
+++ b/lib/carry/hold.go
@@ -87,6 +87,7 @@
 		}
 		c.queue.pop()
 		known.balancer = entry.forward.Origin
+		known.waited = now.Sub(entry.since)
 		verdict := c.deliver(&entry.forward, entry.packets[0].packet)
 		verdict.Datagram = entry.packets[0].datagram
 		verdicts = append(verdicts, verdict)
@@ -110,6 +111,9 @@
 	var verdicts []AgentVerdict
 	for _, waited := range entry.packets {
 		c.follow(now, &entry.forward, waited.packet)
+		if known, ok := c.flows.Get(now, entry.flow()); ok {
+			known.waited = now.Sub(entry.since)
+		}
 		verdict := c.deliver(&entry.forward, waited.packet)
 		verdict.Datagram = waited.datagram
 		verdicts = append(verdicts, verdict)
--- a/lib/carry/hold_test.go
+++ b/lib/carry/hold_test.go
@@ -150,3 +150,19 @@
 	g.Expect(o.carrier.Release(late)).To(gomega.BeEmpty())
 	g.Expect(o.carrier.Waiting()).To(gomega.BeZero())
 }
+
+func TestEndedRequestTellsHowLongItWaited(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(100, 0)
+	o := newOverload(now, 7)
+	flow := holdAll(g, o, now)
+	waits := map[Flow]time.Duration{}
+	for passed := time.Duration(0); passed < time.Second; passed += overloadStep {
+		o.stepOpen(now.Add(passed))
+		for _, ended := range o.carrier.TakeEnded() {
+			waits[ended.Flow] = ended.Waited
+		}
+	}
+	g.Expect(waits[flow]).To(gomega.BeNumerically(">", 0))
+	g.Expect(waits[testFlow(0)]).To(gomega.BeZero())
+}
--- a/lib/carry/requests.go
+++ b/lib/carry/requests.go
@@ -24,6 +24,7 @@
 	Flow   Flow
 	ID     string // empty when it could not be read
 	Took   time.Duration
+	Waited time.Duration // at the agent, before Took begins
 }
 
 // endedCapacity is how many ended requests are kept until they are taken.
@@ -90,7 +91,7 @@
 	if !known.busy || !known.requested || len(c.ended) == endedCapacity {
 		return
 	}
-	c.ended = append(c.ended, Ended{Ahead: known.ahead, Ending: ending, Flow: flow, ID: known.request, Took: now.Sub(known.since)})
+	c.ended = append(c.ended, Ended{Ahead: known.ahead, Ending: ending, Flow: flow, ID: known.request, Took: now.Sub(known.since), Waited: known.waited})
 }
 
 // TakeEnded returns the requests that have ended since it was last called.
@@ -107,6 +108,7 @@
 	}
 	known.busy = false
 	known.requested = false
+	known.waited = 0
 }
 
 // finish records that the response to a request has begun.
