--- a/standin/tuple/soak.go
+++ b/standin/tuple/soak.go
@@ -117,7 +117,7 @@
 	balancer := fmt.Sprintf("balancer-%d", s.faults.IntN(soakBalancers))
 	agent := fmt.Sprintf("agent-%d", s.faults.IntN(soakAgents))
 	backend := s.faults.IntN(soakAgents)
-	switch s.faults.IntN(11) {
+	switch s.faults.IntN(14) {
 	case 0:
 		return s.restart(balancer, syscall.SIGKILL)
 	case 1:
@@ -138,6 +138,10 @@
 		return s.replace(backend, "crashes", (*Backend).Crash)
 	case 9:
 		return s.replace(backend, "drains", (*Backend).Drain)
+	case 10, 11:
+		return s.harm(balancer)
+	case 12:
+		return s.harm(agent)
 	default:
 		s.version++
 		s.stage.SetConfig(s.version)
@@ -195,6 +199,14 @@
 	}
 }
 
+// harm harms one process's connections to the store.
+func (s *soak) harm(name string) (string, func()) {
+	proxy := s.stage.proxies[name]
+	harm := HarmCutAnswers + Harm(s.faults.IntN(int(harmCount-HarmCutAnswers)))
+	proxy.SetHarm(harm)
+	return fmt.Sprintf("the store is %s for %s", harm, name), func() { proxy.SetHarm(HarmNone) }
+}
+
 func (s *soak) storeMood(mood Mood) (string, func()) {
 	s.stage.Objects.SetMood(mood)
 	return fmt.Sprintf("the store is %+v", mood), func() { s.stage.Objects.SetMood(Mood{}) }
@@ -244,6 +256,9 @@
 // settle ends all disturbance and checks that everything works again.
 func (s *soak) settle() {
 	s.stage.Objects.SetMood(Mood{})
+	for _, proxy := range s.stage.proxies {
+		proxy.SetHarm(HarmNone)
+	}
 	for _, process := range s.stage.processes {
 		process.Signal(syscall.SIGCONT)
 	}
--- a/standin/tuple/stage.go
+++ b/standin/tuple/stage.go
@@ -54,12 +54,13 @@
 	config    StageConfig
 	mu        sync.Mutex
 	processes map[string]*stage.Process
+	proxies   map[string]*Proxy // of each process on its way to the store
 	store     *http.Server
 }
 
 // NewStage starts everything and waits until the balancers are ready.
 func NewStage(config StageConfig) (*Stage, error) {
-	s := &Stage{config: config, Objects: NewObjects(), processes: map[string]*stage.Process{}}
+	s := &Stage{config: config, Objects: NewObjects(), processes: map[string]*stage.Process{}, proxies: map[string]*Proxy{}}
 	if err := s.start(); err != nil {
 		s.Stop()
 		return nil, err
@@ -134,6 +135,9 @@
 	for _, backend := range s.Backends {
 		backend.Crash()
 	}
+	for _, proxy := range s.proxies {
+		proxy.Close()
+	}
 	if s.store != nil {
 		_ = s.store.Close()
 	}
@@ -207,6 +211,11 @@
 func (s *Stage) startRole(role string, group byte, i int, more map[string]any) error {
 	host := s.host(group, i)
 	name := fmt.Sprintf("%s-%d", role, i)
+	proxy, err := NewProxy(netip.AddrPortFrom(host, storePort), netip.AddrPortFrom(s.host(0, 0), storePort))
+	if err != nil {
+		return err
+	}
+	s.proxies[name] = proxy
 	settings := map[string]any{
 		"address":          netip.AddrPortFrom(host, innerPort).String(),
 		"availabilityZone": fmt.Sprintf("zone-%d", i%3),
@@ -216,7 +225,7 @@
 		"name":             name,
 		"readyAddress":     netip.AddrPortFrom(host, readyPort).String(),
 		"seeds":            []string{netip.AddrPortFrom(s.host(1, 0), announcePort).String()},
-		"storeAddress":     netip.AddrPortFrom(s.host(0, 0), storePort).String(),
+		"storeAddress":     netip.AddrPortFrom(host, storePort).String(),
 		"trustedNetworks":  []string{"127.0.0.0/8"},
 	}
 	for key, value := range more {
