Keep speeds of backend servers that warm up side by side together

Traced with what each agent said at the undrain: open flows were spread 4 to 11 over seven agents (5 to 7 before), since a fast sample raised a cold speed by a quarter and each new flow held back what the others had gained by time. Change: fast samples weigh 10 % again; new flows hold back the allowance only on a backend server whose last samples were slower than its speed.

--- a/lib/admit/speed.go
+++ b/lib/admit/speed.go
@@ -12,8 +12,11 @@
 	minSpeed  = 50
 	// medianSpan is how many samples the median is taken of.
 	medianSpan = 5
-	// sampleWeight is the weight in per cent of a sample, equal for slow and fast ones so that noise does not drift.
-	sampleWeight = 25
+	// slowWeight is the weight in per cent of a sample that is slower than the current speed.
+	slowWeight = 25
+	// fastWeight is the weight in per cent of a sample that is faster than the current speed. It is small, so that
+	// backend servers that warm up side by side do not drift apart by who was asked first.
+	fastWeight = 10
 	// loneWeight is the weight in per cent of the first slow sample after idle time.
 	loneWeight = 50
 	// idleRecovery is how much speed returns per second without samples, in per mille.
@@ -28,8 +31,9 @@
 
 // A Speed follows how fast a backend server works compared with its typical durations.
 type Speed struct {
-	allowance int // per mille that idle time added to the measured speed and no sample has confirmed
-	measured  int // per mille
+	allowance int  // per mille that idle time added to the measured speed and no sample has confirmed
+	doubted   bool // the last samples were slower than the speed
+	measured  int  // per mille
 	recent    []int
 	sampled   time.Time
 	tried     time.Time // when a flow came that counts on the allowance, zero when none did
@@ -50,14 +54,18 @@
 	if hoped := s.measured + s.allowance; observed >= hoped {
 		s.measured = hoped
 	}
+	s.doubted = observed < s.measured
 	s.allowance = 0
 	s.tried = time.Time{}
-	weight := sampleWeight
-	if len(s.recent) == 1 && observed < s.measured {
-		weight = loneWeight
+	weight := fastWeight
+	if observed < s.measured {
+		weight = slowWeight
+		if len(s.recent) == 1 {
+			weight = loneWeight
+		}
 	}
 	s.measured += (observed - s.measured) * weight / percent
-	if observed == fullSpeed && s.measured > fullSpeed-percent/sampleWeight {
+	if observed == fullSpeed && s.measured > fullSpeed-percent/fastWeight {
 		s.measured = fullSpeed
 	}
 }
@@ -84,9 +92,10 @@
 	s.Sample(now, typical*shedSlowdown, typical)
 }
 
-// Try records that a new flow came, and holds back what idle time added until a sample or the time tells more.
+// Try records that a new flow came to a backend server that was slow when last seen, and holds back what idle time
+// added until a sample or the time tells more.
 func (s *Speed) Try(now time.Time) {
-	if s.allowance > 0 {
+	if s.doubted && s.allowance > 0 {
 		s.tried = now
 	}
 }
