Prove the end of flows beside agents whose backend server is gone

Ruled out: to count a silent agent as empty. Changes, each with its test first: - An agent connects to its backend server's address when announcements are missing, at its start and after 1.5 intervals. A refusal is proof that the server and its flows have ended, unless an announcement is fresh: the agent says "gone", answers searches at once and resets what it held. (TestServerWhosePortIsClosedHasEnded, TestAgentAnswersAtOnceForAServer ThatHasEnded, TestAgentWhoseServersPortIsClosedLeavesWhenItEnds) - An agent leaves the members when its backend server leaves, not only at its own end, and joins with the next. (TestAgentLeavesTheMembersOnce...) - An agent that has left is not taken back from the lists of balancers that have not heard of it. (TestAgentThatLeftIsNotTakenFromOthers...) - Up to 32 balancers in place of 16 are asked about the members before the store's list is read. The stand-in's backend servers listen over TCP as well.

--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -62,8 +62,10 @@
 	meter      *meter
 	mu         sync.Mutex // guards carrier and server
 	outlet     *link.Socket
+	probe      chan struct{} // the backend server has to be looked for
 	rejoin     chan struct{}
 	server     *carry.Server
+	serverLeft chan struct{} // the backend server has ended for good
 	serverSeen chan struct{} // the backend server has changed
 	socket     *link.Socket
 	stop       context.CancelFunc
@@ -91,10 +93,12 @@
 			Self:    member.Member{Address: config.Address, Role: member.RoleAgent},
 			Store:   config.Store,
 		}),
+		probe:      make(chan struct{}, 1),
 		rejoin:     make(chan struct{}, 1),
 		limiter:    logs.NewLimiter(packetLines),
 		meter:      newMeter(config.Stats),
 		server:     server,
+		serverLeft: make(chan struct{}, 1),
 		serverSeen: make(chan struct{}, 1),
 		stop:       stop,
 	}
@@ -128,6 +132,7 @@
 	go n.runInlet()
 	go n.runTimers()
 	go n.runMembers()
+	go n.runProbe()
 	n.config.Log.Info("Started.", logs.Fields{"address": n.config.Address.String(), "service": n.config.Service})
 	<-ctx.Done()
 	n.leave()
@@ -167,6 +172,15 @@
 	if left {
 		n.config.Log.Info("Backend server left.", logs.Fields{"id": id})
 		n.reportSoon()
+		n.leaveSoon()
+	}
+}
+
+// leaveSoon makes runMembers take this agent out of the members.
+func (n *Node) leaveSoon() {
+	select {
+	case n.serverLeft <- struct{}{}:
+	default:
 	}
 }
 
--- a/agent/tuple/packets.go
+++ b/agent/tuple/packets.go
@@ -60,6 +60,7 @@
 	if !ok {
 		return
 	}
+	n.noteClosed(now)
 	n.mu.Lock()
 	verdict := n.carrier.Refused(now, packet, echo)
 	n.mu.Unlock()
@@ -148,12 +149,26 @@
 func (n *Node) runInlet() {
 	buffer := make([]byte, link.MaxDatagram)
 	for n.ctx.Err() == nil {
-		if _, err := n.inlet.Read(buffer); err != nil && n.ctx.Err() == nil {
-			n.logLimited(time.Now(), "The backend server's port is closed.", logs.Fields{"error": err.Error()})
+		if _, err := n.inlet.Read(buffer); errors.Is(err, syscall.ECONNREFUSED) {
+			n.noteClosed(time.Now())
+		} else if err != nil && n.ctx.Err() == nil {
+			n.logLimited(time.Now(), "The backend server's port can't be read.", logs.Fields{"error": err.Error()})
 		}
 	}
 }
 
+// noteClosed takes it that the backend server has ended when its port is closed.
+func (n *Node) noteClosed(now time.Time) {
+	n.mu.Lock()
+	ended := n.server.Refused(now)
+	current := n.server.Current()
+	n.mu.Unlock()
+	if ended {
+		n.config.Log.Info("Backend server has ended, its port is closed.", logs.Fields{"born": current.Born, "id": current.ID})
+		n.reportSoon()
+	}
+}
+
 func (n *Node) logReset(now time.Time, verdict *carry.AgentVerdict) {
 	n.logLimited(now, "Flow reset.", logs.Fields{
 		"caller":  verdict.Flow.Caller.String(),
--- a/balancer/tuple/poll.go
+++ b/balancer/tuple/poll.go
@@ -8,7 +8,7 @@
 
 const (
 	// maxPolled is how many balancers are asked about the members; more are too many for each proof.
-	maxPolled = 16
+	maxPolled = 32
 	// pollLimit is how long their answers may take.
 	pollLimit = 40 * time.Millisecond
 )
--- a/lib/carry/agents.go
+++ b/lib/carry/agents.go
@@ -86,6 +86,7 @@
 	if report.State == StateLeft {
 		left := a.byAddress[address] != nil
 		a.Remove(address)
+		a.forgotten.Put(now, address, struct{}{})
 		return left
 	}
 	a.forgotten.Delete(address)
@@ -138,6 +139,9 @@
 func (a *Agents) Unlisted(now time.Time, listed []Endpoint) []Endpoint {
 	var missing []Endpoint
 	for address, known := range a.byAddress {
+		if known.report.State == StateGone {
+			continue // it has left, as it holds no flows
+		}
 		if !known.suspect(now) && now.Sub(known.met) > joinTime && !slices.Contains(listed, address) {
 			missing = append(missing, address)
 		}
--- a/lib/carry/agents_test.go
+++ b/lib/carry/agents_test.go
@@ -82,3 +82,16 @@
 	g.Expect(a.candidates(now, ServiceIDOf(testService), testFlow(1), nil)).To(gomega.BeEmpty())
 	g.Expect(a.candidates(now, ServiceIDOf("nachweise"), testFlow(1), nil)).To(gomega.HaveLen(1))
 }
+
+func TestAgentThatLeftIsNotTakenFromOthersThatStillKnowIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(100, 0)
+	a := NewAgents(testLost)
+	gone := testEndpoint(2, 0)
+	a.Report(now, gone, Report{Service: ServiceIDOf(testService), State: StateReady})
+	a.Report(now, gone, Report{Service: ServiceIDOf(testService), State: StateLeft})
+	g.Expect(a.Add(now.Add(time.Second), gone)).To(gomega.BeFalse())
+	g.Expect(a.Known(gone)).To(gomega.BeFalse())
+	a.Report(now.Add(2*time.Second), gone, Report{Service: ServiceIDOf(testService), State: StateReady})
+	g.Expect(a.Known(gone)).To(gomega.BeTrue(), "it is back")
+}
--- a/lib/carry/carrier.go
+++ b/lib/carry/carrier.go
@@ -115,6 +115,9 @@
 	if p.Opens() {
 		return c.open(now, f, p)
 	}
+	if c.config.Server.Closed() {
+		return c.lose(now, f, p)
+	}
 	if c.hold(now, f, p) {
 		return AgentVerdict{Flow: p.FromCaller(), Reason: ReasonHeld}
 	}
@@ -132,19 +135,28 @@
 	}
 	f := slot.forward
 	*slot = delivery{}
-	known, ok := c.flows.Get(now, flow)
-	if ok && !p.Opens() {
+	if !p.Opens() {
+		return c.lose(now, &f, p)
+	}
+	if known, ok := c.flows.Get(now, flow); ok && !known.established {
+		c.drop(flow, known)
+		f.Full = true
+	}
+	return c.pass(&f, p)
+}
+
+// lose decides about a packet of an open flow that the backend server does not hold: the flow has ended if it held it
+// before, and may be elsewhere if it did not.
+func (c *Carrier) lose(now time.Time, f *Forward, p Packet) AgentVerdict {
+	flow := p.FromCaller()
+	if known, ok := c.flows.Get(now, flow); ok {
 		c.end(now, flow, known, EndingLost)
 		c.drop(flow, known)
 		if known.established {
 			return AgentVerdict{Action: AgentReset, Flow: flow, Reason: ReasonOwnerEnded, Request: known.request, Seq: p.Ack}
 		}
 	}
-	if ok && p.Opens() && !known.established {
-		c.drop(flow, known)
-		f.Full = true
-	}
-	return c.pass(&f, p)
+	return c.pass(f, p)
 }
 
 // Refused decides about a packet whose delivery failed because the backend server's port is closed.
--- a/lib/carry/hold_test.go
+++ b/lib/carry/hold_test.go
@@ -166,3 +166,18 @@
 	g.Expect(waits[flow]).To(gomega.BeNumerically(">", 0))
 	g.Expect(waits[testFlow(0)]).To(gomega.BeZero())
 }
+
+func TestAgentAnswersAtOnceForAServerThatHasEnded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(100, 0)
+	o := newOverload(now, 7)
+	held := o.openFlows(now, 1)[0]
+	other := testFlow(500)
+	g.Expect(o.carrier.config.Server.Refused(now.Add(time.Hour))).To(gomega.BeTrue())
+	f := o.forward(held)
+	g.Expect(o.carrier.Forwarded(now, &f, o.packet(held, FlagAck, 100)).Action).To(gomega.Equal(AgentReset), "it held this flow")
+	f = o.forward(other)
+	verdict := o.carrier.Forwarded(now, &f, o.packet(other, FlagAck, 100))
+	g.Expect(verdict.Action).To(gomega.Equal(AgentMessage))
+	g.Expect(verdict.Kind).To(gomega.Equal(KindReturn))
+}
--- a/lib/carry/server.go
+++ b/lib/carry/server.go
@@ -22,6 +22,7 @@
 
 // A Server is what an agent knows of the backend server beside it.
 type Server struct {
+	closed   bool // no process listens at its address
 	current  Announcement
 	heard    time.Time
 	interval time.Duration
@@ -62,6 +63,26 @@
 	return true
 }
 
+// Overdue reports whether a server has missed an announcement whose port is not known to be closed.
+func (s *Server) Overdue(now time.Time) bool {
+	return !s.heard.IsZero() && !s.closed && now.Sub(s.heard) > s.interval+s.interval/2
+}
+
+// Closed reports whether no process listens at the server's address, so that all its flows have ended. A server that has
+// only said that it leaves may still finish some.
+func (s *Server) Closed() bool { return s.closed }
+
+// Refused records that the server's port was closed, and reports whether that shows that the server has ended. While its
+// last announcement is fresh it does not: the refusal may be of the time before that announcement.
+func (s *Server) Refused(now time.Time) bool {
+	if s.closed || !s.heard.IsZero() && now.Sub(s.heard) <= s.interval {
+		return false
+	}
+	s.closed = true
+	s.state = StateGone
+	return true
+}
+
 // State returns the state in which new flows find the server.
 func (s *Server) State(now time.Time) State {
 	if s.state == StateReady && now.Sub(s.heard) > missedBeats*s.interval {
@@ -81,6 +102,7 @@
 
 func (s *Server) take(now time.Time, a Announcement) bool {
 	changed := a.Born != s.current.Born || a.State != s.state
+	s.closed = false
 	s.current = a
 	s.heard = now
 	s.state = a.State
--- a/lib/carry/server_test.go
+++ b/lib/carry/server_test.go
@@ -68,3 +68,44 @@
 	g.Expect(s.State(now.Add(missedBeats * time.Second))).To(gomega.Equal(StateReady))
 	g.Expect(s.State(now.Add(missedBeats*time.Second + 1))).To(gomega.Equal(StateUnknown))
 }
+
+func TestServerWhosePortIsClosedHasEnded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	s := NewServer(testService, time.Second)
+	_, _ = s.Announce(now, announcement(5, 3, StateReady))
+	g.Expect(s.Refused(now.Add(time.Second))).To(gomega.BeFalse(), "may be an error of an earlier process's time")
+	g.Expect(s.State(now.Add(time.Second))).To(gomega.Equal(StateReady))
+	now = now.Add(time.Second + 1)
+	g.Expect(s.Refused(now)).To(gomega.BeTrue())
+	g.Expect(s.State(now)).To(gomega.Equal(StateGone))
+	g.Expect(s.Refused(now)).To(gomega.BeFalse(), "nothing new")
+	_, _ = s.Announce(now, announcement(6, 1, StateReady))
+	g.Expect(s.State(now)).To(gomega.Equal(StateReady))
+}
+
+func TestPortThatIsClosedWhenTheAgentStartsHoldsNoFlows(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	s := NewServer(testService, time.Second)
+	g.Expect(s.Refused(now)).To(gomega.BeTrue())
+	g.Expect(s.State(now)).To(gomega.Equal(StateGone))
+	_, _ = s.Announce(now, announcement(5, 1, StateReady))
+	g.Expect(s.State(now)).To(gomega.Equal(StateReady))
+}
+
+func TestOverdueAnnouncementsAreNoticed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	s := NewServer(testService, time.Second)
+	g.Expect(s.Overdue(now)).To(gomega.BeFalse(), "never heard")
+	_, _ = s.Announce(now, announcement(5, 3, StateReady))
+	g.Expect(s.Overdue(now.Add(1500 * time.Millisecond))).To(gomega.BeFalse())
+	g.Expect(s.Overdue(now.Add(1501 * time.Millisecond))).To(gomega.BeTrue())
+	s.Leave("i-1")
+	g.Expect(s.Closed()).To(gomega.BeFalse(), "it may still finish flows")
+	g.Expect(s.Overdue(now.Add(time.Hour))).To(gomega.BeTrue())
+	g.Expect(s.Refused(now.Add(time.Hour))).To(gomega.BeTrue())
+	g.Expect(s.Closed()).To(gomega.BeTrue())
+	g.Expect(s.Overdue(now.Add(time.Hour))).To(gomega.BeFalse(), "it has ended")
+}
--- a/standin/tuple/backend.go
+++ b/standin/tuple/backend.go
@@ -36,6 +36,7 @@
 	config   BackendConfig
 	conn     *net.UDPConn
 	flows    map[flowKey]*served
+	health   *net.TCPListener // at the same address, as long as the backend server runs
 	mu       sync.Mutex
 	once     sync.Once      // ends it
 	Runs     map[string]int // requests begun, by ID
@@ -65,7 +66,13 @@
 	if err != nil {
 		return nil, err
 	}
+	health, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(config.Inlet))
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
 	b := &Backend{
+		health: health,
 		born:   time.Now().UnixMilli(),
 		config: config,
 		conn:   conn,
@@ -90,6 +97,7 @@
 func (b *Backend) Crash() {
 	b.once.Do(func() { close(b.stop) })
 	_ = b.conn.Close()
+	_ = b.health.Close()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.flows = map[flowKey]*served{}
--- a/standin/tuple/leave_test.go
+++ b/standin/tuple/leave_test.go
@@ -87,3 +87,35 @@
 	openFlows(g, s, "open", 20)
 	checkBackends(g, s)
 }
+
+func TestAgentLeavesTheMembersOnceItsServerHasLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startTestStage(t, 95)
+	s.Backend(0).Crash()
+	leave(g, s, 0)
+	members := func() []string { return s.Objects.Names("cyclamendock-members") }
+	g.Eventually(members, requestLimit, soon).Should(gomega.HaveLen(6))
+	openFlows(g, s, "open", 20) // balancers hear of it and do not ask it to join again
+	g.Consistently(members, 5*soon, soon).Should(gomega.HaveLen(6))
+	g.Expect(s.Replace(0)).To(gomega.Succeed())
+	g.Eventually(members, requestLimit, soon).Should(gomega.HaveLen(7))
+	g.Eventually(func() []string { return statesOf(g, s, 0) }, requestLimit, soon).
+		Should(gomega.Equal([]string{"ready", "ready", "ready"}))
+}
+
+func TestAgentWhoseServersPortIsClosedLeavesWhenItEnds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startTestStage(t, 94)
+	flows := openFlows(g, s, "open", 20)
+	s.Backend(0).Crash()
+	time.Sleep(2 * announceInterval)
+	getAll(flows, "crashed", 3000) // some of them meet the closed port
+	g.Eventually(func() []string { return statesOf(g, s, 0) }, requestLimit, soon).
+		Should(gomega.Equal([]string{"gone", "gone", "gone"}))
+	agent := s.Process("agent-0")
+	agent.Signal(syscall.SIGTERM)
+	g.Expect(agent.WaitEnd(requestLimit)).To(gomega.BeTrue())
+	g.Expect(s.Objects.Names("cyclamendock-members")).To(gomega.HaveLen(6))
+	g.Eventually(func() []string { return statesOf(g, s, 0) }, soon, soon/10).Should(gomega.BeEmpty())
+	openFlows(g, s, "after", 20)
+}
