Count a left address in a later list as a new agent

A new agent at its address that one balancer could not hear would have been unknown to that balancer, which then might have reset a living flow of it. Change: a list from the store that was asked for after the agent left makes its address known again, since an agent leaves the store before it says so. Test: TestAgentInAListReadAfterItLeftIsANewOne, fails without the check.

--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -196,11 +196,12 @@
 
 func (n *Node) join() {
 	port.Retry(n.ctx, func() error {
+		asked := time.Now()
 		members, err := n.directory.Join(n.ctx, n.config.First)
 		if err != nil {
 			return err
 		}
-		n.takeMembers(members)
+		n.takeMembers(asked, members)
 		n.config.Log.Info("Joined.", logs.Fields{"members": len(members)})
 		n.greetPeers(n.allPeers())
 		return nil
@@ -219,7 +220,7 @@
 			n.askForList()
 			return
 		}
-		n.takeMembers(members)
+		n.takeMembers(asked, members)
 		pause = listPause
 	}
 	out := n.newOutlet(timerBatch)
@@ -238,8 +239,9 @@
 	port.Sleep(n.ctx, pause)
 }
 
-// takeMembers adds listed members and asks agents that are missing from the list to join again.
-func (n *Node) takeMembers(members []member.Member) {
+// takeMembers adds the members of a list that was asked for at the given time, and asks agents that are missing from
+// it to join again.
+func (n *Node) takeMembers(asked time.Time, members []member.Member) {
 	now := time.Now()
 	var listed []carry.Endpoint
 	n.mu.Lock()
@@ -247,7 +249,7 @@
 		switch m.Role {
 		case member.RoleAgent:
 			listed = append(listed, carry.EndpointOf(m.Address))
-			n.director.Agents.Add(now, carry.EndpointOf(m.Address))
+			n.director.Agents.Listed(now, asked, carry.EndpointOf(m.Address))
 		case member.RoleBalancer:
 			n.peers.add(m.Address)
 		}
--- a/lib/carry/agents.go
+++ b/lib/carry/agents.go
@@ -46,7 +46,7 @@
 type Agents struct {
 	byAddress map[Endpoint]*agent
 	byService map[ServiceID][]*agent
-	forgotten *Cache[Endpoint, struct{}]
+	forgotten *Cache[Endpoint, time.Time] // when each was
 	lostAfter time.Duration
 	used      map[ServiceID]time.Time // last packet for each service
 }
@@ -56,7 +56,7 @@
 	return &Agents{
 		byAddress: map[Endpoint]*agent{},
 		byService: map[ServiceID][]*agent{},
-		forgotten: NewCache[Endpoint, struct{}](forgottenCapacity, forgottenMemory),
+		forgotten: NewCache[Endpoint, time.Time](forgottenCapacity, forgottenMemory),
 		lostAfter: lostAfter,
 		used:      map[ServiceID]time.Time{},
 	}
@@ -71,6 +71,15 @@
 	return true
 }
 
+// Listed makes an address known that a list of members from the store names. An address that was forgotten before the
+// list was asked for is that of a new agent, since an agent leaves the store before it says so.
+func (a *Agents) Listed(now, asked time.Time, address Endpoint) {
+	if at, ok := a.forgotten.Get(now, address); ok && asked.After(at) {
+		a.forgotten.Delete(address)
+	}
+	a.Add(now, address)
+}
+
 // Remove forgets an address.
 func (a *Agents) Remove(address Endpoint) {
 	known := a.byAddress[address]
@@ -86,7 +95,7 @@
 	if report.State == StateLeft {
 		left := a.byAddress[address] != nil
 		a.Remove(address)
-		a.forgotten.Put(now, address, struct{}{})
+		a.forgotten.Put(now, address, now)
 		return left
 	}
 	a.forgotten.Delete(address)
@@ -127,7 +136,7 @@
 	slices.SortFunc(silent, Endpoint.Compare)
 	for _, address := range silent {
 		a.Remove(address)
-		a.forgotten.Put(now, address, struct{}{})
+		a.forgotten.Put(now, address, now)
 	}
 	return silent
 }
--- a/lib/carry/agents_test.go
+++ b/lib/carry/agents_test.go
@@ -95,3 +95,19 @@
 	a.Report(now.Add(2*time.Second), gone, Report{Service: ServiceIDOf(testService), State: StateReady})
 	g.Expect(a.Known(gone)).To(gomega.BeTrue(), "it is back")
 }
+
+// An address may be used again at once by another backend server, of which this balancer has not heard yet.
+func TestAgentInAListReadAfterItLeftIsANewOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(100, 0)
+	a := NewAgents(testLost)
+	address := testEndpoint(2, 0)
+	a.Report(now, address, Report{Service: ServiceIDOf(testService), State: StateReady})
+	a.Report(now, address, Report{Service: ServiceIDOf(testService), State: StateLeft})
+	a.Listed(now.Add(time.Second), now.Add(-time.Millisecond), address)
+	g.Expect(a.Known(address)).To(gomega.BeFalse(), "the list was read before it left")
+	a.Listed(now.Add(time.Second), now.Add(time.Millisecond), address)
+	g.Expect(a.Known(address)).To(gomega.BeTrue())
+	answering, silent := a.holders(now.Add(time.Second), ServiceIDOf(testService), testFlow(1), nil)
+	g.Expect(append(answering, silent...)).To(gomega.ContainElement(address), "it may hold flows")
+}
