--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -156,14 +156,6 @@
 	return nil
 }
 
-// seeServer lets an agent join that waits for its first backend server.
-func (n *Node) seeServer() {
-	select {
-	case n.serverSeen <- struct{}{}:
-	default:
-	}
-}
-
 // Leave records that the backend server has ended.
 func (n *Node) Leave(id string) {
 	n.mu.Lock()
@@ -176,22 +168,6 @@
 	}
 }
 
-// leaveSoon makes runMembers take this agent out of the members.
-func (n *Node) leaveSoon() {
-	select {
-	case n.serverLeft <- struct{}{}:
-	default:
-	}
-}
-
-// joinSoon makes runMembers enter the members again.
-func (n *Node) joinSoon() {
-	select {
-	case n.rejoin <- struct{}{}:
-	default:
-	}
-}
-
 // reportSoon makes runTimers report to the balancers at once.
 func (n *Node) reportSoon() {
 	select {
--- a/agent/tuple/packets.go
+++ b/agent/tuple/packets.go
@@ -157,18 +157,6 @@
 	}
 }
 
-// noteClosed takes it that the backend server has ended when its port is closed.
-func (n *Node) noteClosed(now time.Time) {
-	n.mu.Lock()
-	ended := n.server.Refused(now)
-	current := n.server.Current()
-	n.mu.Unlock()
-	if ended {
-		n.config.Log.Info("Backend server has ended, its port is closed.", logs.Fields{"born": current.Born, "id": current.ID})
-		n.reportSoon()
-	}
-}
-
 func (n *Node) logReset(now time.Time, verdict *carry.AgentVerdict) {
 	n.logLimited(now, "Flow reset.", logs.Fields{
 		"caller":  verdict.Flow.Caller.String(),
