Tell the callers of a backend server that has ended at once

Cause: a caller whose request was acknowledged sends nothing more, so that it heard of its backend server's end only at its time limit. The agent knew of the end, from the closed port, and of the flows. Change: once the port is closed the agent resets the flows that the server had gone on with, from where their callers last acknowledged. Test first: TestCallersOfAServerThatHasEndedAreToldAtOnce.

--- a/agent/tuple/probe.go
+++ b/agent/tuple/probe.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cyclamendock/cyclamendock/lib/carry"
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/port"
 )
@@ -50,14 +51,28 @@
 	}
 }
 
-// noteClosed takes it that the backend server has ended when its port is closed.
+// noteClosed takes it that the backend server has ended when its port is closed, and tells its callers.
 func (n *Node) noteClosed(now time.Time) {
 	n.mu.Lock()
 	ended := n.server.Refused(now)
 	current := n.server.Current()
-	n.mu.Unlock()
+	var resets []carry.AgentVerdict
 	if ended {
-		n.config.Log.Info("Backend server has ended, its port is closed.", logs.Fields{"born": current.Born, "id": current.ID})
-		n.reportSoon()
+		resets = n.carrier.ServerEnded(now)
+	}
+	n.mu.Unlock()
+	if !ended {
+		return
+	}
+	n.config.Log.Info("Backend server has ended, its port is closed.", logs.Fields{
+		"born":  current.Born,
+		"flows": len(resets),
+		"id":    current.ID,
+	})
+	n.reportSoon()
+	out := n.newOutlet(timerBatch, timerBatch)
+	for i := range resets {
+		n.do(now, out, &resets[i], nil)
 	}
+	out.Flush()
 }
--- a/lib/carry/carrier.go
+++ b/lib/carry/carrier.go
@@ -67,7 +67,8 @@
 
 // held is a flow that the backend server holds or may hold.
 type held struct {
-	ahead       int // requests in progress when this one came, itself included
+	ack         uint32 // that the caller sent last
+	ahead       int    // requests in progress when this one came, itself included
 	balancer    Endpoint
 	busy        bool
 	established bool   // the backend server has gone on after its handshake
@@ -165,6 +166,27 @@
 	return c.Bounced(now, p)
 }
 
+// ServerEnded resets the flows that the backend server held, since it has ended. Their callers may have nothing left to
+// send, so that they would hear of it only at their time limits.
+func (c *Carrier) ServerEnded(now time.Time) []AgentVerdict {
+	var verdicts []AgentVerdict
+	c.flows.Each(func(flow Flow, known *held) {
+		if !known.established {
+			return
+		}
+		c.end(now, flow, known, EndingLost)
+		c.idle(known)
+		verdicts = append(verdicts, AgentVerdict{
+			Action: AgentReset, Flow: flow, Reason: ReasonOwnerEnded, Request: known.request, Seq: known.ack,
+		})
+	})
+	slices.SortFunc(verdicts, func(a, b AgentVerdict) int { return a.Flow.Compare(b.Flow) })
+	for _, verdict := range verdicts {
+		c.flows.Delete(verdict.Flow)
+	}
+	return verdicts
+}
+
 // FromServer records a packet that the backend server sends to a caller, and returns the balancer that should be
 // told that the flow is here.
 func (c *Carrier) FromServer(now time.Time, p Packet) (balancer Endpoint, tell bool) {
--- a/lib/carry/hold_test.go
+++ b/lib/carry/hold_test.go
@@ -181,3 +181,28 @@
 	g.Expect(verdict.Action).To(gomega.Equal(AgentMessage))
 	g.Expect(verdict.Kind).To(gomega.Equal(KindReturn))
 }
+
+func TestCallersOfAServerThatHasEndedAreToldAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(100, 0)
+	o := newOverload(now, 7)
+	flows := o.openFlows(now, 3)
+	f := o.forward(flows[0])
+	p := o.packet(flows[0], FlagAck, 100)
+	p.Ack = 4711
+	o.carrier.Forwarded(now, &f, p)
+	unknown := o.forward(testFlow(500))
+	o.carrier.Forwarded(now, &unknown, o.packet(testFlow(500), FlagAck, 100)) // may be another agent's
+	verdicts := o.carrier.ServerEnded(now)
+	g.Expect(verdicts).To(gomega.HaveLen(len(flows)))
+	for i, verdict := range verdicts {
+		g.Expect(verdict.Action).To(gomega.Equal(AgentReset))
+		g.Expect(verdict.Flow).To(gomega.Equal(flows[i]))
+	}
+	g.Expect(verdicts[0].Seq).To(gomega.Equal(uint32(4711)), "as the caller last acknowledged")
+	g.Expect(o.carrier.Busy()).To(gomega.BeZero())
+	g.Expect(o.carrier.ServerEnded(now)).To(gomega.BeEmpty())
+	ended := o.carrier.TakeEnded()
+	g.Expect(ended).To(gomega.HaveLen(1))
+	g.Expect(ended[0].Ending).To(gomega.Equal(EndingLost))
+}
--- a/lib/carry/requests.go
+++ b/lib/carry/requests.go
@@ -41,6 +41,7 @@
 	if len(f.Asked) > 0 || len(f.Next) > 0 {
 		known.balancer = f.Origin
 	}
+	known.ack = p.Ack
 	if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
 		c.end(now, flow, known, EndingAbandoned) // the caller waits for nothing more
 		c.idle(known)
