Search every service before a flow counts as ended

Change: after the route's service and the former ones known here, a search asks the agents of all other services; an owner that it finds teaches the balancer the address's former service, so that its hint is used.

Ruled out: routing history from peers or the store. After a restart of all balancers nobody has it when the history is compacted.

Test: TestFlowsOfMovedRoutesSurviveRestartOfAllBalancers and TestOnlyEndedFlowsAreResetWhileRoutesMove, both failed before.

--- a/lib/flows/agents.go
+++ b/lib/flows/agents.go
@@ -287,6 +287,18 @@
 	return unreported
 }
 
+// services returns the services of all agents that have reported, in order.
+func (a *Agents) services() []NameHash {
+	services := make([]NameHash, 0, len(a.byService))
+	for service, agents := range a.byService {
+		if len(agents) > 0 {
+			services = append(services, service)
+		}
+	}
+	slices.Sort(services)
+	return services
+}
+
 // ranked returns the agents of a service ordered by rendezvous hashing with a flow.
 func (a *Agents) ranked(service NameHash, flow Flow) []*agentState {
 	hash := flow.Hash()
--- a/lib/flows/director.go
+++ b/lib/flows/director.go
@@ -128,15 +128,20 @@
 	for address, route := range routes.ByAddress {
 		d.removedAddresses.Delete(address)
 		for _, share := range route.Shares {
-			if !slices.Contains(d.servicesByAddress[address], share.Service) {
-				d.servicesByAddress[address] = append(d.servicesByAddress[address], share.Service)
-			}
+			d.learnService(address, share.Service)
 		}
 	}
 	d.routes = routes
 	return true
 }
 
+// learnService records that an address is or was routed to a service.
+func (d *Director) learnService(address Endpoint, service NameHash) {
+	if !slices.Contains(d.servicesByAddress[address], service) {
+		d.servicesByAddress[address] = append(d.servicesByAddress[address], service)
+	}
+}
+
 // Ready reports whether this balancer has routes and has received a report of an agent.
 func (d *Director) Ready() bool { return d.routes.Version > 0 && d.Agents.ReportedCount() > 0 }
 
@@ -170,7 +175,7 @@
 	if !reported {
 		return owner, route.ServiceFor(flow), true
 	}
-	return owner, service, slices.Contains(d.servicesOf(flow.Service, route.ServiceFor(flow)), service)
+	return owner, service, slices.Contains(d.servicesByAddress[flow.Service], service)
 }
 
 // lookupHint returns the agent that holds a flow according to the hint cache.
@@ -231,6 +236,9 @@
 // RecordOwner records in the hint cache which agent holds a flow, and ends the search for it.
 func (d *Director) RecordOwner(now time.Time, flow Flow, owner Endpoint) {
 	d.hints.Put(now, flow, owner)
+	if service, reported := d.Agents.ServiceOf(owner); reported {
+		d.learnService(flow.Service, service)
+	}
 	d.searches.Delete(flow)
 	delete(d.pendingResets, flow)
 }
--- /dev/null
+++ b/lib/flows/moves_test.go
@@ -0,0 +1,88 @@
+package flows
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// otherServices are services that an address moves to and from besides testService.
+var otherServices = []string{"documents", "media"}
+
+// moveRoute routes testAddress to another service in the latest configuration, which no director has received yet.
+func (n *testNetwork) moveRoute(service string) {
+	routes := testRoutes(n.routes.Version+1, testAddress)
+	route := routes.ByAddress[testAddress]
+	route.Shares = []Share{{Service: HashName(service), Weight: 1}}
+	routes.ByAddress[testAddress] = route
+	n.routes = routes
+}
+
+// A balancer that starts after a route has moved knows only the latest configuration. Flows that opened before the move
+// live on at agents of the service that the route had then.
+func TestFlowsOfMovedRoutesSurviveRestartOfAllBalancers(t *testing.T) {
+	for seed := range uint64(20) {
+		n := newTestNetwork(seed, 3, 3)
+		n.addAgent(otherServices[0])
+		n.reportAll()
+		n.openFlow(testFlow(0))
+		n.moveRoute(otherServices[0])
+		for _, balancer := range n.balancers() {
+			n.restartBalancer(balancer)
+		}
+		n.advance(time.Second)
+		before := n.delivered[testFlow(0)]
+		for range 3 {
+			n.sendFromCaller(testFlow(0), FlagAck, 100)
+			n.advance(200 * time.Millisecond)
+		}
+		if n.delivered[testFlow(0)] == before || len(n.resets) > 0 {
+			t.Fatalf("seed %d: the flow was delivered %d times, resets: %v", seed, n.delivered[testFlow(0)]-before, n.resets)
+		}
+	}
+}
+
+func TestOnlyEndedFlowsAreResetWhileRoutesMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newTestNetwork(rapid.Uint64().Draw(t, "seed"), 3, rapid.IntRange(1, 4).Draw(t, "agents"))
+		for _, service := range otherServices {
+			n.addAgent(service)
+		}
+		for _, director := range n.directors {
+			n.addMembers(director)
+		}
+		n.reportAll()
+		n.loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
+		flows := 0
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			n.openFlow(testFlow(flows))
+			flows++
+			n.injectRouteMove(t)
+			n.injectFault(t)
+			n.advance(rapid.SampledFrom([]time.Duration{5, 50, 300, 900}).Draw(t, "pause") * time.Millisecond)
+			for i := range flows {
+				if n.ownerOf[testFlow(i)] != nil {
+					n.sendFromCaller(testFlow(i), FlagAck, 100)
+				}
+			}
+			n.checkWrongResets(t)
+		}
+		n.checkRecovery(t, flows)
+	})
+}
+
+// injectRouteMove moves the route, applies the latest configuration at one balancer, or restarts all balancers.
+func (n *testNetwork) injectRouteMove(t *rapid.T) {
+	switch rapid.IntRange(0, 5).Draw(t, "move") {
+	case 0:
+		n.moveRoute(rapid.SampledFrom(append([]string{testService}, otherServices...)).Draw(t, "service"))
+	case 1, 2:
+		balancer := n.balancers()[rapid.IntRange(0, len(n.directors)-1).Draw(t, "updated balancer")]
+		n.directors[balancer].SetRoutes(n.now, n.routes)
+	case 3:
+		for _, balancer := range n.balancers() {
+			n.restartBalancer(balancer)
+		}
+	}
+}
--- a/lib/flows/network_test.go
+++ b/lib/flows/network_test.go
@@ -47,6 +47,7 @@
 	flows            map[Flow]bool // flows that the backend server holds; true once open
 	running          bool          // the agent and the backend server
 	server           *Server
+	service          string
 	startMillis      int64
 	unreachableSince time.Time // since when packets from and to it are dropped; zero when it is reachable
 }
@@ -70,6 +71,7 @@
 	ownerOf     map[Flow]*testAgent // agent whose backend server holds or held each flow
 	random      *rand.Rand
 	resets      map[Flow]Reason
+	routes      Routes   // latest configuration
 	wrongResets []string // resets of flows that their backend server still held
 }
 
@@ -81,9 +83,10 @@
 		ownerOf:   map[Flow]*testAgent{},
 		random:    rand.New(rand.NewPCG(seed, 1)),
 		resets:    map[Flow]Reason{},
+		routes:    testRoutes(1, testAddress),
 	}
-	for i := range agents {
-		n.agents = append(n.agents, n.newAgent(i))
+	for range agents {
+		n.addAgent(testService)
 	}
 	for i := range balancers {
 		n.restartBalancer(testEndpoint(1, i))
@@ -92,10 +95,11 @@
 	return n
 }
 
-func (n *testNetwork) newAgent(i int) *testAgent {
-	a := &testAgent{address: testEndpoint(2, i)}
+// addAgent adds an agent with a backend server of the given service, which no director knows yet.
+func (n *testNetwork) addAgent(service string) {
+	a := &testAgent{address: testEndpoint(2, len(n.agents)), service: service}
 	n.startHost(a)
-	return a
+	n.agents = append(n.agents, a)
 }
 
 // startHost starts an agent and its backend server, without flows.
@@ -108,26 +112,26 @@
 
 // restartAgent restarts the agent's process; the backend server keeps its flows.
 func (n *testNetwork) restartAgent(a *testAgent) {
-	a.server = NewServer(testService, time.Second)
+	a.server = NewServer(a.service, time.Second)
 	a.dispatcher = NewDispatcher(DispatcherConfig{
 		FirstEcho:    n.random.Uint32(),
 		FlowLifetime: time.Minute,
 		Self:         a.address,
 		Server:       a.server,
-		Service:      HashName(testService),
+		Service:      HashName(a.service),
 	})
 	n.announce(a)
 }
 
 func (n *testNetwork) announce(a *testAgent) {
 	sequence := n.now.UnixMilli() + 1
-	_, _ = a.server.Announce(n.now, Announcement{ID: "i", Sequence: sequence, Service: testService, Slots: 7, StartMillis: a.startMillis, State: StateReady})
+	_, _ = a.server.Announce(n.now, Announcement{ID: "i", Sequence: sequence, Service: a.service, Slots: 7, StartMillis: a.startMillis, State: StateReady})
 }
 
-// restartBalancer starts or restarts a balancer's process.
+// restartBalancer starts or restarts a balancer's process, which then knows only the latest configuration.
 func (n *testNetwork) restartBalancer(address Endpoint) {
 	d := NewDirector(DirectorConfig{FlowLifetime: time.Minute, LostAfter: testLostAfter, MaxQueueTime: time.Second, Self: address})
-	d.SetRoutes(n.now, testRoutes(1, testAddress))
+	d.SetRoutes(n.now, n.routes)
 	n.directors[address] = d
 	n.addMembers(d)
 }
@@ -407,7 +411,7 @@
 	case 5:
 		a.unreachableSince = time.Time{}
 	case 6:
-		n.agents = append(n.agents, n.newAgent(len(n.agents)))
+		n.addAgent(testService)
 	}
 }
 
--- a/lib/flows/search.go
+++ b/lib/flows/search.go
@@ -29,10 +29,10 @@
 		return d.tryNext(now, route, p, search)
 	}
 	flow := p.CallerFlow()
-	services := d.servicesOf(flow.Service, route.ServiceFor(flow))
+	services := d.searchOrder(flow.Service, route.ServiceFor(flow))
 	for range services {
-		search.fanOuts++
 		service := services[search.fanOuts%len(services)] // rotate, since all agents of one service may be silent
+		search.fanOuts++
 		responsive, silent := d.Agents.holders(now, service, flow, search.rejectedBy)
 		agents := append(responsive, silent...)
 		if len(agents) == 0 {
@@ -50,7 +50,7 @@
 	flow := p.CallerFlow()
 	service := route.ServiceFor(flow)
 	silentService, silent := service, []Endpoint(nil)
-	for _, service := range d.servicesOf(flow.Service, service) {
+	for _, service := range d.searchOrder(flow.Service, service) {
 		responsive, silentAgents := d.Agents.holders(now, service, flow, search.rejectedBy)
 		if len(responsive) > 0 {
 			search.sentAt, search.fannedOut = now, false
@@ -119,7 +119,7 @@
 	if !ok {
 		return true
 	}
-	for _, service := range d.servicesOf(flow.Service, route.ServiceFor(flow)) {
+	for _, service := range d.searchOrder(flow.Service, route.ServiceFor(flow)) {
 		responsive, silent := d.Agents.holders(now, service, flow, rejectedBy)
 		if len(responsive)+len(silent) > 0 {
 			return true
@@ -128,12 +128,16 @@
 	return false
 }
 
-// servicesOf returns all services that an address has been routed to, the given one first.
-func (d *Director) servicesOf(address Endpoint, first NameHash) []NameHash {
+// searchOrder returns the services whose agents may hold flows of an address: the given one first, then those that the
+// address is known to have been routed to, then all others that agents report, since the address may have been routed to
+// any of them before this balancer started.
+func (d *Director) searchOrder(address Endpoint, first NameHash) []NameHash {
 	services := []NameHash{first}
-	for _, service := range d.servicesByAddress[address] {
-		if service != first {
-			services = append(services, service)
+	for _, known := range [][]NameHash{d.servicesByAddress[address], d.Agents.services()} {
+		for _, service := range known {
+			if !slices.Contains(services, service) {
+				services = append(services, service)
+			}
 		}
 	}
 	return services
--- a/lib/flows/trace.go
+++ b/lib/flows/trace.go
@@ -27,7 +27,7 @@
 		return trace
 	}
 	trace.Route = route.Name
-	for _, service := range d.servicesOf(flow.Service, route.ServiceFor(flow)) {
+	for _, service := range d.searchOrder(flow.Service, route.ServiceFor(flow)) {
 		responsive, silent := d.Agents.holders(now, service, flow, nil)
 		trace.SearchOrder = append(append(trace.SearchOrder, responsive...), silent...)
 	}
