Reset flows that a power loss ended before their callers use them

Cause: after a power loss every flow of before is dead, but callers learn it only from their next request.

--- a/agent/tuple/members.go
+++ b/agent/tuple/members.go
@@ -9,6 +9,7 @@
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/member"
 	"github.com/cyclamendock/cyclamendock/lib/netio"
+	"github.com/cyclamendock/cyclamendock/lib/snap"
 )
 
 const (
@@ -45,12 +46,23 @@
 		if n.hasServer() {
 			return nil
 		}
-		return n.directory.Leave(n.ctx)
+		return n.leave(n.ctx)
 	}, func(err error) {
 		n.config.Log.Warn("This agent can't leave the member list.", logs.Fields{"error": err.Error()})
 	})
 }
 
+// leave removes this agent from the member list, and the snapshot of its flows, which have ended, from the store.
+func (n *Node) leave(ctx context.Context) error {
+	if err := n.directory.Leave(ctx); err != nil {
+		return err
+	}
+	if !n.snapshotStored.Load() {
+		return nil
+	}
+	return snap.NewArchive(n.config.Store, n.config.Address).Remove(ctx)
+}
+
 // joinAtStart joins at once on the first start of the system, if this agent is listed, or if the list can't be read in
 // time. An agent that is not listed has no backend server with earlier flows, so it joins only after the first
 // announcement: if it were listed and its host failed before a backend server had run there, balancers would wait for
@@ -120,6 +132,9 @@
 			balancers = append(balancers, m.Address)
 		}
 	}
+	n.mu.Lock()
+	n.agentCount = len(members) - len(balancers)
+	n.mu.Unlock()
 	n.addSubscribers(balancers)
 }
 
--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/lib/clock"
@@ -15,6 +16,7 @@
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/member"
 	"github.com/cyclamendock/cyclamendock/lib/netio"
+	"github.com/cyclamendock/cyclamendock/lib/snap"
 	"github.com/cyclamendock/cyclamendock/lib/stats"
 	"github.com/cyclamendock/cyclamendock/lib/store"
 	"github.com/cyclamendock/cyclamendock/lib/trust"
@@ -45,12 +47,15 @@
 	Service          string
 	Stats            *stats.Server
 	Store            store.Store
+	StoreWrites      float64 // writes per second that the store accepts from all processes; zero when not known
 	Trust            *trust.Allowlist
 	Zone             string
 }
 
 // Node is one agent process.
 type Node struct {
+	agentCount      int           // agents on the last member list read
+	archive         *snap.Archive // used by runSnapshots until the shutdown
 	clock           *clock.Ticker
 	config          Config
 	ctx             context.Context
@@ -60,13 +65,14 @@
 	joinRequested   chan struct{} // wakes runMembers to join the member list again
 	leaveRequested  chan struct{} // wakes runMembers after the backend server has ended for good
 	meter           *meter
-	mu              sync.Mutex    // guards dispatcher and server
+	mu              sync.Mutex    // guards agentCount, dispatcher and server
 	outlet          *udpio.Socket // receives the backend server's packets and sends them to callers
 	packetLimiter   *logs.Limiter
 	probeRequested  chan struct{} // wakes runProbe to check whether the backend server still runs
 	reportRequested chan struct{} // wakes runTimers to report a change of state
 	server          *flows.Server
 	serverChanged   chan struct{} // wakes waitForServer after a changed announcement
+	snapshotStored  atomic.Bool   // the store may hold a snapshot of this agent
 	socket          *udpio.Socket // for messages between agents and balancers
 	stop            context.CancelFunc
 }
@@ -76,9 +82,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	server := flows.NewServer(config.Service, config.AnnounceInterval)
 	n := &Node{
-		clock:  clock.NewTicker(timerResolution),
-		config: config,
-		ctx:    ctx,
+		archive: snap.NewArchive(config.Store, config.Address),
+		clock:   clock.NewTicker(timerResolution),
+		config:  config,
+		ctx:     ctx,
 		directory: member.NewDirectory(member.Config{
 			Ignored: config.Ignored,
 			Self:    member.Member{Address: config.Address, Role: member.RoleAgent},
@@ -133,6 +140,7 @@
 	go n.runTimers()
 	go n.runMembers()
 	go n.runProbe()
+	go n.runSnapshots()
 	n.config.Log.Info("Started.", logs.Fields{"address": n.config.Address.String(), "service": n.config.Service})
 	<-ctx.Done()
 	n.shutDown()
@@ -153,6 +161,7 @@
 		n.config.Log.Info("Backend server changed.", logs.Fields{"born": a.StartMillis, "id": a.ID, "sequence": a.Sequence, "state": a.State.String()})
 		n.requestReport()
 		n.notifyServerChanged()
+		n.resetRestored(now)
 	}
 	return nil
 }
@@ -194,7 +203,7 @@
 }
 
 // shutDown stops the agent at once. If the backend server has ended for good, it first removes the agent from the
-// member list.
+// member list, with its snapshot.
 func (n *Node) shutDown() {
 	n.config.Log.Info("Stopping.", nil)
 	n.mu.Lock()
@@ -202,7 +211,7 @@
 	n.mu.Unlock()
 	if gone {
 		ctx, cancel := context.WithTimeout(n.ctx, leaveTimeout)
-		if err := n.directory.Leave(ctx); err != nil {
+		if err := n.leave(ctx); err != nil {
 			n.config.Log.Warn("This agent can't leave the member list.", logs.Fields{"error": err.Error()})
 		}
 		cancel()
--- a/agent/tuple/probe.go
+++ b/agent/tuple/probe.go
@@ -71,9 +71,6 @@
 		"id":    current.ID,
 	})
 	n.requestReport()
-	out := n.newSender(timerBatch, timerBatch)
-	for i := range resets {
-		n.execute(now, out, &resets[i], nil)
-	}
-	out.Flush()
+	n.sendResets(now, resets)
+	n.resetRestored(now)
 }
--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -8,6 +8,7 @@
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/member"
 	"github.com/cyclamendock/cyclamendock/lib/netio"
+	"github.com/cyclamendock/cyclamendock/lib/snap"
 )
 
 const (
@@ -78,11 +79,15 @@
 	}
 }
 
-// runRemove removes agents from the member list; an agent that reports again is asked to rejoin.
+// runRemove removes agents from the member list, and their snapshots; an agent that reports again is asked to rejoin.
 func (n *Node) runRemove(agents []flows.Endpoint) {
 	for _, agent := range agents {
 		if err := n.directory.Remove(n.ctx, agent.AddrPort()); err != nil {
 			n.logStoreError("An agent can't be removed from the members.", err)
+			continue
+		}
+		if err := snap.NewArchive(n.config.Store, agent.AddrPort()).Remove(n.ctx); err != nil {
+			n.logStoreError("The snapshot of a removed agent can't be removed.", err)
 		}
 	}
 }
--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -76,6 +76,7 @@
 	inProgress     bool          // a request, or an opening whose first request is expected, counts as busy
 	lastAck        uint32        // caller's last acknowledgement number
 	nextSeq        uint32        // sequence number after the caller's last data
+	openedAt       time.Time     // when the flow was admitted or first seen
 	ownerRecipient Endpoint      // balancer to send an Owner message to; zero when none is due
 	queueTime      time.Duration // time that the request in progress, or the flow's opening, was queued
 	requestID      string        // ID of the request in progress; empty when it could not be read
@@ -94,6 +95,7 @@
 	meanServiceTime time.Duration // moving average; zero until a request has been answered
 	nextEcho        uint32
 	queue           *WaitQueue
+	restored        restoredFlows // see Restore
 	subscribers     *Subscribers
 }
 
@@ -192,12 +194,15 @@
 // Owner message to, if any.
 func (d *Dispatcher) HandleServerPacket(now time.Time, p Packet) (balancer Endpoint, notify bool) {
 	flow := p.ServerFlow()
+	if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
+		delete(d.restored.acks, flow)
+	}
 	state, ok := d.flows.Get(now, flow)
 	if !ok {
 		if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
 			return Endpoint{}, false
 		}
-		state = &flowState{}
+		state = &flowState{openedAt: now}
 		if !d.flows.Put(now, flow, state) {
 			return Endpoint{}, false
 		}
@@ -292,7 +297,7 @@
 
 // admit starts tracking a new flow as in progress and reports false when the flow table is full.
 func (d *Dispatcher) admit(now time.Time, flow Flow) (*flowState, bool) {
-	state := &flowState{}
+	state := &flowState{openedAt: now}
 	if !d.flows.Put(now, flow, state) {
 		return nil, false
 	}
--- a/lib/flows/network_test.go
+++ b/lib/flows/network_test.go
@@ -48,6 +48,7 @@
 	running          bool          // the agent and the backend server
 	server           *Server
 	service          string
+	snapshot         Snapshot // as last stored
 	startMillis      int64
 	unreachableSince time.Time // since when packets from and to it are dropped; zero when it is reachable
 }
@@ -110,7 +111,7 @@
 	n.restartAgent(a)
 }
 
-// restartAgent restarts the agent's process; the backend server keeps its flows.
+// restartAgent restarts the agent's process, which restores the stored snapshot; the backend server keeps its flows.
 func (n *testNetwork) restartAgent(a *testAgent) {
 	a.server = NewServer(a.service, time.Second)
 	a.dispatcher = NewDispatcher(DispatcherConfig{
@@ -120,7 +121,11 @@
 		Server:       a.server,
 		Service:      HashName(a.service),
 	})
+	a.dispatcher.Restore(n.now, a.snapshot)
 	n.announce(a)
+	for _, verdict := range a.dispatcher.ResetRestored(n.now) {
+		n.recordReset(verdict.Flow, verdict.Reason)
+	}
 }
 
 func (n *testNetwork) announce(a *testAgent) {
@@ -143,13 +148,15 @@
 	}
 }
 
-// reportAll makes every running agent announce its backend server, and report to every director if it is reachable.
+// reportAll makes every running agent announce its backend server, store a snapshot, and report to every director if it
+// is reachable.
 func (n *testNetwork) reportAll() {
 	for _, a := range n.agents {
 		if !a.running {
 			continue
 		}
 		n.announce(a)
+		a.snapshot = a.dispatcher.Snapshot(n.now)
 		if a.unreachable() {
 			continue
 		}
--- a/lib/flows/requests.go
+++ b/lib/flows/requests.go
@@ -74,7 +74,7 @@
 // server may hold the flow; until it sends a packet for it, its requests don't count as in progress.
 func (d *Dispatcher) trackTentative(now time.Time, f *Forward, p Packet) {
 	if p.Length > 0 {
-		d.flows.Put(now, p.CallerFlow(), &flowState{ownerRecipient: f.Origin, tentative: true})
+		d.flows.Put(now, p.CallerFlow(), &flowState{openedAt: now, ownerRecipient: f.Origin, tentative: true})
 	}
 }
 
--- a/lib/member/directory.go
+++ b/lib/member/directory.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/netip"
-	"strings"
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/lib/fault"
@@ -136,7 +135,7 @@
 
 // key returns the store key of the member with the given address.
 func key(address netip.AddrPort) string {
-	return Prefix + strings.NewReplacer(".", "-", ":", "-").Replace(address.String())
+	return Prefix + store.AddressName(address)
 }
 
 func contains(members []Member, wanted Member) bool {
--- a/lib/store/store.go
+++ b/lib/store/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/netip"
+	"strings"
 
 	"github.com/cyclamendock/cyclamendock/lib/fault"
 )
@@ -29,6 +31,11 @@
 	Watch(ctx context.Context, key string, after uint64) (Object, error)
 }
 
+// AddressName returns the part of a key that names the process with the given address.
+func AddressName(address netip.AddrPort) string {
+	return strings.NewReplacer(".", "-", ":", "-").Replace(address.String())
+}
+
 func missing(key string) error {
 	return fault.New(fault.Missing, "the platform has no object "+key, "apply a first patch, or check the key")
 }
