Forget a flow for good once its backend server has closed it

Cause: the acknowledgement of a caller's last FIN came after the backend server's, and made the agent take the flow for an open one that it did not know, for a minute.

Test: TestClosedFlowsAreNotCounted, failed before.

--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -6,6 +6,9 @@
 )
 
 const (
+	closedCapacity = 1 << 13 // flows
+	// closedLifetime is how long a flow that the backend server has closed may still have packets under way.
+	closedLifetime = 5 * time.Second
 	// deliveryTableSize is the number of recent deliveries that a bounced packet can be matched to.
 	deliveryTableSize = 1 << 10
 	// firstRequestTimeout is how long an admitted flow counts as a request in progress before its first request arrives.
@@ -87,7 +90,8 @@
 
 // Dispatcher decides for one agent whether packets are delivered, queued, forwarded, returned or reset.
 type Dispatcher struct {
-	busy            int // requests in progress
+	busy            int                    // requests in progress
+	closed          *Cache[Flow, struct{}] // flows that the backend server has closed a short time ago
 	config          DispatcherConfig
 	deliveries      []delivery // ring, indexed by echo
 	ended           []Ended    // requests that ended since the last TakeEnded
@@ -102,6 +106,7 @@
 // NewDispatcher returns a dispatcher without flows.
 func NewDispatcher(config DispatcherConfig) *Dispatcher {
 	return &Dispatcher{
+		closed:      NewCache[Flow, struct{}](closedCapacity, closedLifetime),
 		config:      config,
 		deliveries:  make([]delivery, deliveryTableSize),
 		flows:       NewCache[Flow, *flowState](flowCapacity, config.FlowLifetime),
@@ -196,10 +201,11 @@
 	flow := p.ServerFlow()
 	if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
 		delete(d.restored.acks, flow)
+		d.closed.Put(now, flow, struct{}{})
 	}
 	state, ok := d.flows.Get(now, flow)
 	if !ok {
-		if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
+		if d.closed.Has(now, flow) {
 			return Endpoint{}, false
 		}
 		state = &flowState{openedAt: now}
@@ -255,6 +261,7 @@
 
 // Sweep removes idle flows and ends requests whose timeout has passed.
 func (d *Dispatcher) Sweep(now time.Time) {
+	d.closed.Sweep(now)
 	d.flows.Sweep(now)
 	d.busy = 0
 	d.flows.Each(func(flow Flow, state *flowState) {
@@ -301,6 +308,7 @@
 	if !d.flows.Put(now, flow, state) {
 		return nil, false
 	}
+	d.closed.Delete(flow)
 	d.beginRequest(now, state)
 	return state, true
 }
--- a/lib/flows/dispatcher_test.go
+++ b/lib/flows/dispatcher_test.go
@@ -197,6 +197,25 @@
 	g.Expect(o.dispatcher.Busy()).To(gomega.Equal(1))
 }
 
+// The last packets of a closing flow, such as the acknowledgement of its caller's FIN, must not make the agent take the
+// flow for an open one that it did not know.
+func TestClosedFlowsAreNotCounted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := time.Unix(0, 0)
+	o := newOverloadSim(start, 2)
+	flow := testFlow(1)
+	f := o.forward(flow)
+	o.confirmHeld(start, flow)
+	o.dispatcher.HandleServerPacket(start, Packet{Destination: flow.Caller, Flags: FlagAck | FlagFin, Source: flow.Service})
+	o.dispatcher.HandleForward(start, &f, o.packet(flow, FlagAck|FlagFin, 0))
+	o.confirmHeld(start, flow)
+	g.Expect(o.dispatcher.Flows()).To(gomega.BeZero())
+	o.dispatcher.HandleForward(start, &f, o.packet(flow, FlagSyn, 0))
+	g.Expect(o.dispatcher.Flows()).To(gomega.Equal(1), "the caller opens a new flow from the same port")
+	o.confirmHeld(start.Add(2*closedLifetime), testFlow(2))
+	g.Expect(o.dispatcher.Flows()).To(gomega.Equal(2))
+}
+
 func TestBouncedPacketWithUnknownEchoIsDropped(t *testing.T) {
 	g := gomega.NewWithT(t)
 	start := time.Unix(0, 0)
