Free the slots of callers that have given up after four handshake times

Change: the time allowed is four times the mean handshake time that the agent sees, from 30 to 300 ms, checked at each release.

--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -11,9 +11,7 @@
 	closedLifetime = 5 * time.Second
 	// deliveryTableSize is the number of recent deliveries that a bounced packet can be matched to.
 	deliveryTableSize = 1 << 10
-	// firstRequestTimeout is how long an admitted flow counts as a request in progress before its first request arrives.
-	firstRequestTimeout = 300 * time.Millisecond
-	flowCapacity        = 1 << 14 // flows
+	flowCapacity      = 1 << 14 // flows
 	// maxOpeningWait is how long a new flow may stay queued; its caller gives up a little later.
 	maxOpeningWait = 1200 * time.Millisecond
 	queueCapacity  = 256 // new flows and requests
@@ -90,12 +88,14 @@
 
 // Dispatcher decides for one agent whether packets are delivered, queued, forwarded, returned or reset.
 type Dispatcher struct {
+	admissions      []admission            // new flows whose first request is expected, oldest first
 	busy            int                    // requests in progress
 	closed          *Cache[Flow, struct{}] // flows that the backend server has closed a short time ago
 	config          DispatcherConfig
 	deliveries      []delivery // ring, indexed by echo
 	ended           []Ended    // requests that ended since the last TakeEnded
 	flows           *Cache[Flow, *flowState]
+	meanHandshake   time.Duration // moving average of the time from a flow's admission to its first request; zero until known
 	meanServiceTime time.Duration // moving average; zero until a request has been answered
 	nextEcho        uint32
 	queue           *WaitQueue
@@ -310,11 +310,12 @@
 	}
 	d.closed.Delete(flow)
 	d.beginRequest(now, state)
+	d.admissions = append(d.admissions, admission{at: now, flow: flow})
 	return state, true
 }
 
-// handleOverload forwards a new flow while untried agents remain. The last agent queues the flow if it can be served
-// before its timeout, and otherwise refuses it at once.
+// handleOverload forwards or returns a new flow until its balancer has chosen this agent as the least loaded one. Then
+// it queues the flow if it can be served before its timeout, and otherwise refuses it at once.
 func (d *Dispatcher) handleOverload(now time.Time, f *Forward, p Packet) AgentVerdict {
 	f.Overloaded = true
 	if len(f.Next) > 0 {
--- a/lib/flows/queueing.go
+++ b/lib/flows/queueing.go
@@ -71,6 +71,7 @@
 	if d.config.Server.State(now) != StateReady {
 		return d.drainQueue(now)
 	}
+	d.expireAdmissions(now)
 	verdicts := d.returnOpenings(d.queue.expire(now), true)
 	for {
 		entry := d.queue.peek()
--- a/lib/flows/requests.go
+++ b/lib/flows/requests.go
@@ -54,6 +54,7 @@
 		d.beginRequest(now, state)
 	}
 	if !state.requestSeen {
+		d.recordHandshake(now, state)
 		state.requestID = p.RequestID
 		state.requestSeen = true
 		state.startedAt = now
@@ -84,7 +85,7 @@
 	state.inFlight = d.busy
 	state.inProgress = true
 	state.startedAt = now
-	state.deadline = now.Add(firstRequestTimeout)
+	state.deadline = now.Add(maxHandshakeTime)
 }
 
 // recordEnded records the end of the request in progress, if any, for TakeEnded.
