--- a/agent/tuple/snapshots.go
+++ b/agent/tuple/snapshots.go
@@ -13,7 +13,7 @@
 	// maxSnapshotPause is the longest pause after snapshots that could not be stored.
 	maxSnapshotPause = 30 * time.Second
 	// minSnapshotInterval is the shortest interval between stored snapshots.
-	minSnapshotInterval = time.Second
+	minSnapshotInterval = 2 * time.Second
 	// snapshotWriteShare is the fraction of the store's writes that the snapshots of all agents may use.
 	snapshotWriteShare = 0.25
 )
