Let openings wait for the first configuration, and refuse those without a route

Cause: a balancer that has just started dropped the opening packets that came in the 20 to 40 ms before its configuration. Callers repeat an opening after 200 and 600 ms only. A queued opening whose route was removed vanished without an answer or a log line.

Test: TestOpeningsThatArriveBeforeConfigurationAreQueued, TestQueuedOpeningsExpireWithoutConfiguration and TestQueuedOpeningIsResetWhenItsRouteIsRemoved, which failed before. TestDirectorWithoutRoutesIsNotReady uses a packet of an open flow instead of an opening, which waits now.

--- a/lib/flows/director.go
+++ b/lib/flows/director.go
@@ -148,7 +148,10 @@
 // HandlePacket decides about a packet of a caller; datagram is copied when the packet is queued.
 func (d *Director) HandlePacket(now time.Time, p Packet, datagram []byte) Verdict {
 	flow := p.CallerFlow()
-	if d.routes.Version == 0 {
+	switch {
+	case d.routes.Version == 0 && p.IsOpening():
+		return d.queueOpening(now, p, datagram)
+	case d.routes.Version == 0:
 		return Verdict{Flow: flow, Reason: ReasonNoConfig}
 	}
 	route, ok := d.routes.ByAddress[flow.Service]
--- a/lib/flows/opening.go
+++ b/lib/flows/opening.go
@@ -5,29 +5,17 @@
 	"time"
 )
 
-// Tick returns the verdicts about queued openings, newest first, that an agent can accept now or that have been queued
-// for MaxQueueTime.
+// Tick returns the verdicts about queued openings, newest first, that an agent can accept now, that have no route, or
+// that have been queued for MaxQueueTime.
 func (d *Director) Tick(now time.Time) []Verdict {
 	var verdicts []Verdict
 	unavailable := map[NameHash]bool{} // services without an agent that accepts new flows
 	for _, flow := range d.newestOpenings() {
 		opening := d.queuedOpenings[flow]
-		route, ok := d.routes.ByAddress[flow.Service]
-		if !ok {
-			delete(d.queuedOpenings, flow)
+		verdict, decided := d.decideQueued(now, opening, unavailable)
+		if !decided {
 			continue
 		}
-		verdict := Verdict{}
-		if service := route.ServiceFor(flow); !unavailable[service] {
-			verdict = d.place(now, route, opening.packet, nil)
-			unavailable[service] = verdict.Action != ActForward
-		}
-		if verdict.Action != ActForward {
-			if now.Sub(opening.since) < d.config.MaxQueueTime {
-				continue
-			}
-			verdict = resetVerdict(opening.packet, ReasonNoAgent)
-		}
 		verdict.Forward.Datagram = opening.datagram
 		delete(d.queuedOpenings, flow)
 		verdicts = append(verdicts, verdict)
@@ -35,6 +23,28 @@
 	return verdicts
 }
 
+// decideQueued decides about a queued opening, or reports false while it has to wait; it adds services without an agent
+// that accepts new flows to unavailable, so that no further opening is tried there.
+func (d *Director) decideQueued(now time.Time, opening queuedOpening, unavailable map[NameHash]bool) (Verdict, bool) {
+	flow := opening.packet.CallerFlow()
+	expired := now.Sub(opening.since) >= d.config.MaxQueueTime
+	if d.routes.Version == 0 {
+		return Verdict{Flow: flow, Reason: ReasonNoConfig}, expired
+	}
+	route, ok := d.routes.ByAddress[flow.Service]
+	if !ok {
+		return d.handleUnrouted(now, opening.packet), true
+	}
+	if service := route.ServiceFor(flow); !unavailable[service] {
+		verdict := d.place(now, route, opening.packet, nil)
+		if verdict.Action == ActForward {
+			return verdict, true
+		}
+		unavailable[service] = true
+	}
+	return resetVerdict(opening.packet, ReasonNoAgent), expired
+}
+
 // newestOpenings returns the flows of the queued openings, newest first.
 func (d *Director) newestOpenings() []Flow {
 	flows := make([]Flow, 0, len(d.queuedOpenings))
