Report a balancer as not ready while it is cut off from the agents

Change: a balancer that hears no agent asks up to eight agents and eight balancers; when another balancer hears agents, or does not answer, it reports that it is not ready, and routers take others. When all answer that they hear none either, the agents are down and nobody can do better.

Ruled out: asking whether any other balancer is heard.

--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -40,6 +40,7 @@
 	ticks := n.clock.Subscribe(tickInterval)
 	sweeps := n.clock.Subscribe(sweepInterval)
 	digests := n.clock.Subscribe(digestInterval)
+	isolationChecks := n.clock.Subscribe(isolationCheckInterval)
 	digestRequests := n.clock.Subscribe(digestRequestInterval)
 	for {
 		select {
@@ -51,6 +52,8 @@
 			if n.version() == 0 {
 				n.requestDigests(n.nextDigestPeers())
 			}
+		case now := <-isolationChecks:
+			n.checkIsolation(now)
 		case <-digests:
 			n.sendDigests(n.nextDigestPeers(), false)
 		case <-n.ctx.Done():
--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -54,12 +54,14 @@
 	config       Config
 	configReadAt time.Time // last time that any balancer is known to have read the configuration from the store
 	ctx          context.Context
+	cutOff       atomic.Bool // see isolation
 	director     *flows.Director
 	directory    *member.Directory
 	front        *udpio.Socket
+	isolation    isolation
 	memberChecks chan struct{} // wakes runMembers to confirm the members
 	meter        *meter
-	mu           sync.Mutex // guards configReadAt, director, meter.notForwarded, peers, pulling and rawConfig
+	mu           sync.Mutex // guards configReadAt, director, isolation, meter.notForwarded, peers, pulling and rawConfig
 	peers        *peerSet
 	poll         memberPoll
 	pulling      bool   // a pull from another balancer is in progress
@@ -141,11 +143,11 @@
 	n.shutDown()
 }
 
-// Ready reports whether this balancer can place flows and is not shutting down.
+// Ready reports whether this balancer can place flows, is not cut off from the agents, and is not shutting down.
 func (n *Node) Ready() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.shuttingDown.Load() && n.director.Ready()
+	return !n.shuttingDown.Load() && !n.cutOff.Load() && n.director.Ready()
 }
 
 // shutDown reports not ready, waits until the routers have noticed, and closes the sockets.
--- a/balancer/tuple/peers.go
+++ b/balancer/tuple/peers.go
@@ -118,5 +118,5 @@
 	for _, agent := range n.director.Agents.Addresses() {
 		_, _ = hash.WriteString(agent.String())
 	}
-	return flows.Digest{IsReply: isReply, MembersHash: hash.Sum64(), Version: n.director.Version()}
+	return flows.Digest{AgentsHeard: n.isolation.since.IsZero(), IsReply: isReply, MembersHash: hash.Sum64(), Version: n.director.Version()}
 }
--- a/balancer/tuple/sync.go
+++ b/balancer/tuple/sync.go
@@ -58,6 +58,7 @@
 	}
 	n.mu.Lock()
 	n.peers.markSeen(now, from)
+	n.isolation.recordAnswer(from, theirs.AgentsHeard)
 	ours := n.digest(true)
 	if theirs.FromStore && theirs.Version <= ours.Version {
 		n.configReadAt = now
--- a/lib/flows/agents.go
+++ b/lib/flows/agents.go
@@ -254,6 +254,19 @@
 	return agent.report, now.Sub(agent.lastReport)
 }
 
+// Unreachable reports whether an agent is overdue with its report, and no other has reported for as long as reports may
+// take.
+func (a *Agents) Unreachable(now time.Time) bool {
+	overdue := false
+	for _, agent := range a.byAddress {
+		if !agent.lastReport.IsZero() && now.Sub(agent.lastReport) <= slowReportInterval+reportGrace {
+			return false
+		}
+		overdue = overdue || agent.suspect(now)
+	}
+	return overdue
+}
+
 // Addresses returns the addresses of all agents in order.
 func (a *Agents) Addresses() []Endpoint {
 	all := make([]Endpoint, 0, len(a.byAddress))
--- a/lib/flows/agents_test.go
+++ b/lib/flows/agents_test.go
@@ -112,3 +112,20 @@
 	responsive, silent := a.holders(now.Add(time.Second), HashName(testService), testFlow(1), nil)
 	g.Expect(append(responsive, silent...)).To(gomega.ContainElement(address), "the new agent may hold flows")
 }
+
+func TestAgentsAreUnreachableWhenNoneReports(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	agents := NewAgents(testLostAfter)
+	g.Expect(agents.Unreachable(now)).To(gomega.BeFalse(), "there are none")
+	report := Report{Interval: slowReportInterval, Service: HashName(testService), Slots: 7, State: StateReady}
+	agents.RecordReport(now, testEndpoint(2, 0), report)
+	agents.RecordReport(now, testEndpoint(2, 1), report)
+	g.Expect(agents.Unreachable(now.Add(time.Hour))).To(gomega.BeFalse(), "none was expected to report")
+	agents.ExpectReport(now, testEndpoint(2, 0), false)
+	g.Expect(agents.Unreachable(now.Add(slowReportInterval))).To(gomega.BeFalse())
+	now = now.Add(slowReportInterval + reportGrace + 1)
+	g.Expect(agents.Unreachable(now)).To(gomega.BeTrue())
+	agents.RecordReport(now, testEndpoint(2, 1), report)
+	g.Expect(agents.Unreachable(now)).To(gomega.BeFalse())
+}
--- a/lib/flows/message.go
+++ b/lib/flows/message.go
@@ -101,6 +101,7 @@
 
 // Digest summarises a balancer's configuration and members for comparison by another one.
 type Digest struct {
+	AgentsHeard   bool   // the sender hears agents
 	FromStore     bool   // the sender has just read the version from the store
 	IsReply       bool   // the digest replies to another one
 	MembersHash   uint64 // hash of the members' addresses
@@ -117,6 +118,7 @@
 }
 
 const (
+	digestAgentsHeard   = 8
 	digestReplyRequired = 4
 	digestFromStore     = 2
 	digestIsReply       = 1
@@ -208,7 +210,11 @@
 
 // Append appends the encoded message.
 func (d Digest) Append(dst []byte) []byte {
-	dst = append(dst, byte(KindDigest), flagBit(d.ReplyRequired, digestReplyRequired)|flagBit(d.IsReply, digestIsReply)|flagBit(d.FromStore, digestFromStore))
+	flags := flagBit(d.AgentsHeard, digestAgentsHeard) |
+		flagBit(d.FromStore, digestFromStore) |
+		flagBit(d.IsReply, digestIsReply) |
+		flagBit(d.ReplyRequired, digestReplyRequired)
+	dst = append(dst, byte(KindDigest), flags)
 	dst = binary.BigEndian.AppendUint64(dst, d.Version)
 	return binary.BigEndian.AppendUint64(dst, d.MembersHash)
 }
@@ -218,7 +224,10 @@
 	r := reader{rest: message}
 	r.byte()
 	flags := r.byte()
-	d.ReplyRequired, d.IsReply, d.FromStore = flags&digestReplyRequired != 0, flags&digestIsReply != 0, flags&digestFromStore != 0
+	d.AgentsHeard = flags&digestAgentsHeard != 0
+	d.FromStore = flags&digestFromStore != 0
+	d.IsReply = flags&digestIsReply != 0
+	d.ReplyRequired = flags&digestReplyRequired != 0
 	d.Version = r.uint64()
 	d.MembersHash = r.uint64()
 	return !r.failed
--- a/lib/flows/message_test.go
+++ b/lib/flows/message_test.go
@@ -73,3 +73,20 @@
 		digest.Decode(message)
 	})
 }
+
+func TestDigestSurvivesEncoding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		digest := Digest{
+			AgentsHeard:   rapid.Bool().Draw(t, "agentsHeard"),
+			FromStore:     rapid.Bool().Draw(t, "fromStore"),
+			IsReply:       rapid.Bool().Draw(t, "isReply"),
+			MembersHash:   rapid.Uint64().Draw(t, "membersHash"),
+			ReplyRequired: rapid.Bool().Draw(t, "replyRequired"),
+			Version:       rapid.Uint64().Draw(t, "version"),
+		}
+		var decoded Digest
+		if !decoded.Decode(digest.Append(nil)) || decoded != digest {
+			t.Fatalf("%+v was decoded as %+v", digest, decoded)
+		}
+	})
+}
