Find out sooner that a balancer is cut off, and do not blame the agents for it

Cause of the first: a cut was noticed 1.5 s after it began. Agents in use report each 100 ms, so 250 ms without any report suffice to ask. Ruled out: the new readiness itself; silence was counted so before, only packets hid it.

Change: the first report after a second without any moves the start of all agents' silence.

--- a/balancer/tuple/isolation.go
+++ b/balancer/tuple/isolation.go
@@ -35,6 +35,11 @@
 	}
 }
 
+// agentsHeard reports whether this balancer hears agents, or has not waited long enough to know.
+func (i *isolation) agentsHeard(now time.Time) bool {
+	return i.since.IsZero() || now.Sub(i.since) <= isolationGrace
+}
+
 // recordAnswer records whether another balancer hears agents.
 func (i *isolation) recordAnswer(balancer netip.AddrPort, agentsHeard bool) {
 	if !i.since.IsZero() {
@@ -45,7 +50,7 @@
 // cutOff reports whether other balancers can do better: one of them hears agents, or does not answer this balancer. When
 // all of them answer that they hear none either, the agents are down.
 func (i *isolation) cutOff(now time.Time) bool {
-	if i.since.IsZero() || now.Sub(i.since) <= isolationGrace {
+	if i.agentsHeard(now) {
 		return false
 	}
 	for _, balancer := range i.asked {
--- a/balancer/tuple/peers.go
+++ b/balancer/tuple/peers.go
@@ -112,11 +112,11 @@
 	return chosen
 }
 
-// digest returns the configuration version and a hash of the known agents; n.mu must be held.
+// digest returns a summary of this balancer's configuration and agents; n.mu must be held.
 func (n *Node) digest(isReply bool) flows.Digest {
 	hash := xxhash.New()
 	for _, agent := range n.director.Agents.Addresses() {
 		_, _ = hash.WriteString(agent.String())
 	}
-	return flows.Digest{AgentsHeard: n.isolation.since.IsZero(), IsReply: isReply, MembersHash: hash.Sum64(), Version: n.director.Version()}
+	return flows.Digest{AgentsHeard: n.isolation.agentsHeard(time.Now()), IsReply: isReply, MembersHash: hash.Sum64(), Version: n.director.Version()}
 }
--- a/lib/flows/agents.go
+++ b/lib/flows/agents.go
@@ -47,6 +47,7 @@
 	byAddress   map[Endpoint]*agentState
 	byService   map[NameHash][]*agentState  // only agents that have reported
 	forgottenAt *Cache[Endpoint, time.Time] // time at which each address was forgotten
+	lastReport  time.Time                   // time of the last report of any agent
 	lastUsed    map[NameHash]time.Time      // time of the last packet for each service
 	lostAfter   time.Duration
 }
@@ -102,6 +103,7 @@
 	}
 	a.forgottenAt.Delete(address)
 	a.Add(now, address)
+	a.forgiveSilence(now)
 	agent := a.byAddress[address]
 	first := agent.lastReport.IsZero()
 	changed := first || agent.report.State != report.State || agent.report.Service != report.Service
@@ -114,6 +116,7 @@
 		agent.firstReport = now
 	}
 	agent.meanBusy += (float64(report.Busy) - agent.meanBusy) * busyMeanWeight
+	a.lastReport = now
 	agent.assigned = 0
 	agent.lastReport = now
 	agent.helloInterval = minHelloInterval
@@ -122,6 +125,21 @@
 	return changed
 }
 
+// forgiveSilence is called with the first report after a time without any. Whatever kept the others silent in that time
+// may have been at this balancer, such as a cut link or a freeze, so it does not count against them.
+func (a *Agents) forgiveSilence(now time.Time) {
+	gap := now.Sub(a.lastReport)
+	if a.lastReport.IsZero() || gap <= slowReportInterval+reportGrace {
+		return
+	}
+	for _, agent := range a.byAddress {
+		if agent.reportPending {
+			agent.pendingSince = agent.pendingSince.Add(min(gap, now.Sub(agent.pendingSince)))
+			agent.helloInterval = minHelloInterval
+		}
+	}
+}
+
 // ForgetSilent removes and returns the agents that have been silent for long. It removes none when more than half are
 // silent, since then this balancer itself may be unreachable.
 func (a *Agents) ForgetSilent(now time.Time) []Endpoint {
@@ -254,12 +272,12 @@
 	return agent.report, now.Sub(agent.lastReport)
 }
 
-// Unreachable reports whether an agent is overdue with its report, and no other has reported for as long as reports may
-// take.
+// Unreachable reports whether an agent is overdue with its report, and no agent has reported for as long as those in use
+// may take. While this balancer sends few packets, a single dead agent suffices, so others should be sent hellos.
 func (a *Agents) Unreachable(now time.Time) bool {
 	overdue := false
 	for _, agent := range a.byAddress {
-		if !agent.lastReport.IsZero() && now.Sub(agent.lastReport) <= slowReportInterval+reportGrace {
+		if !agent.lastReport.IsZero() && now.Sub(agent.lastReport) <= fastReportInterval+reportGrace {
 			return false
 		}
 		overdue = overdue || agent.suspect(now)
