Suspect members that stay silent from their start

Cause of the red spec 'new flows all open right after agents have crashed': an agent that crashes before its first heartbeat reaches a monitor has ten seconds of grace and was no suspect either, so new flows went to it as to any other. Ruled out: a previous owner that has crashed, as no membership change came before the opening.

Test: TestMemberThatCrashesBeforeItsFirstHeartbeatIsSuspected, failed before.

--- a/lib/fleet/convergence_test.go
+++ b/lib/fleet/convergence_test.go
@@ -245,6 +245,25 @@
 	}
 }
 
+// An agent that crashes before its first heartbeat is not marked down for firstHeartbeatGrace. Until then new flows should
+// prefer others.
+func TestMemberThatCrashesBeforeItsFirstHeartbeatIsSuspected(t *testing.T) {
+	c, _ := convergedCluster(1, t.Fatalf)
+	c.start("agent-new", RoleAgent, "zone-0")
+	c.hosts["agent-new"].alive = false
+	for _, b := range c.runningBalancers() {
+		b.replica.Merge(c.now, []AgedRecord{{Record: c.hosts["agent-new"].lease.Self()}})
+	}
+	c.advance(suspectTimeout+HeartbeatInterval, nil)
+	suspected := false
+	for _, b := range c.runningBalancers() {
+		suspected = suspected || b.monitor.Suspects(c.now)["agent-new"]
+	}
+	if !suspected {
+		t.Fatal("no monitor suspects agent-new")
+	}
+}
+
 func TestResumedMonitorCastsNoVote(t *testing.T) {
 	c, _ := convergedCluster(1, t.Fatalf)
 	monitor := c.hosts["balancer-1"].monitor
--- a/lib/fleet/monitor.go
+++ b/lib/fleet/monitor.go
@@ -180,11 +180,11 @@
 }
 
 // Suspects returns the names of the monitored members that have been silent for suspectTimeout since their last
-// heartbeat.
+// heartbeat, or have not sent their first one for as long: they may have crashed right after they joined.
 func (m *Monitor) Suspects(now time.Time) map[string]bool {
 	suspects := map[string]bool{}
 	for name, w := range m.watches {
-		if w.heard && now.Sub(w.lastHeardAt) >= suspectTimeout {
+		if now.Sub(w.lastHeardAt) >= suspectTimeout {
 			suspects[name] = true
 		}
 	}
