Call drops and reasons in logs by the names that the code uses

Reasons fannedOut, queued and pendingReset instead of asked, held and proving; 'Packet not forwarded.' instead of 'Packet not carried.'. Whoever searches logs for the old words must change the search.

--- a/balancer/tuple/observe.go
+++ b/balancer/tuple/observe.go
@@ -81,7 +81,7 @@
 // logNotForwarded counts and logs a packet that was not forwarded to an agent.
 func (n *Node) logNotForwarded(now time.Time, verdict *flows.Verdict) {
 	n.countNotForwarded(verdict.Reason)
-	limiter, text := n.meter.dropLimiter, "Packet not carried."
+	limiter, text := n.meter.dropLimiter, "Packet not forwarded."
 	if verdict.Action == flows.ActReset {
 		limiter, text = n.meter.resetLimiter, "Flow reset."
 	}
--- a/lib/flows/director.go
+++ b/lib/flows/director.go
@@ -10,7 +10,7 @@
 
 const (
 	// ReasonFannedOut means that other agents that were sent the packet at the same time may still hold the flow.
-	ReasonFannedOut Reason = "asked"
+	ReasonFannedOut Reason = "fannedOut"
 	// ReasonNoAgent means that no agent accepts new flows, or that none can be tried for an open flow.
 	ReasonNoAgent Reason = "noAgent"
 	// ReasonNoConfig means that this balancer has no configuration yet.
@@ -20,9 +20,9 @@
 	// ReasonOwnerEnded means that the backend server that held the flow has ended.
 	ReasonOwnerEnded Reason = "ownerEnded"
 	// ReasonPendingReset means that the flow is reset unless a fresh list of members names an agent that may hold it.
-	ReasonPendingReset Reason = "proving"
+	ReasonPendingReset Reason = "pendingReset"
 	// ReasonQueued means that the packet is queued until an agent or its backend server has capacity.
-	ReasonQueued Reason = "held"
+	ReasonQueued Reason = "queued"
 	// ReasonRouteRemoved means that a newer configuration has removed the flow's route.
 	ReasonRouteRemoved Reason = "routeRemoved"
 	// ReasonSaturated means that every agent is too busy to serve the flow in time.
--- a/standin/slope/fleet.go
+++ b/standin/slope/fleet.go
@@ -192,6 +192,6 @@
 		{headers + len(reply.Append(nil)), "reply"},
 		{headers + len(fleet.Probe{ConfigVersion: 1_000_000, Digest: 1 << 63}.Append(nil)), "probe"},
 		{headers + len(vote.Append(nil)), "vote"},
-		{headers + 1 + len(fleet.EncodeRecords([]fleet.AgedRecord{record})), "rumor of one record"},
+		{headers + 1 + len(fleet.EncodeRecords([]fleet.AgedRecord{record})), "one gossiped record"},
 	}
 }
