Forget a request's ID and queue time with the request

Cause: the ID of an answered request stayed with its flow and could be logged with a later reset; the queue time of one that had timed out could be logged with the next request. Test: TestEndedRequestIsForgotten, failed before.

--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -159,10 +159,11 @@
 func (d *Dispatcher) handleNotHeld(now time.Time, f *Forward, p Packet) AgentVerdict {
 	flow := p.CallerFlow()
 	if state, ok := d.flows.Get(now, flow); ok {
+		verdict := AgentVerdict{Action: AgentReset, Flow: flow, Reason: ReasonOwnerEnded, RequestID: state.requestID, Seq: p.Ack}
 		d.recordEnded(now, flow, state, EndingLost)
 		d.removeFlow(flow, state)
 		if state.established {
-			return AgentVerdict{Action: AgentReset, Flow: flow, Reason: ReasonOwnerEnded, RequestID: state.requestID, Seq: p.Ack}
+			return verdict
 		}
 	}
 	return d.forwardOrReturn(f, p)
@@ -182,11 +183,11 @@
 		if !state.established {
 			return
 		}
-		d.recordEnded(now, flow, state, EndingLost)
-		d.clearRequest(state)
 		verdicts = append(verdicts, AgentVerdict{
 			Action: AgentReset, Flow: flow, Reason: ReasonOwnerEnded, RequestID: state.requestID, Seq: state.lastAck,
 		})
+		d.recordEnded(now, flow, state, EndingLost)
+		d.clearRequest(state)
 	})
 	slices.SortFunc(verdicts, func(a, b AgentVerdict) int { return a.Flow.Compare(b.Flow) })
 	for _, verdict := range verdicts {
@@ -267,8 +268,7 @@
 	d.flows.Each(func(flow Flow, state *flowState) {
 		if state.inProgress && now.After(state.deadline) {
 			d.recordEnded(now, flow, state, EndingTimedOut)
-			state.inProgress = false
-			state.requestSeen = false
+			state.endRequest()
 		}
 		if state.inProgress {
 			d.busy++
--- a/lib/flows/dispatcher_test.go
+++ b/lib/flows/dispatcher_test.go
@@ -197,6 +197,34 @@
 	g.Expect(o.dispatcher.Busy()).To(gomega.Equal(1))
 }
 
+// Log lines name the request that a decision touched, not an earlier one on the same flow.
+func TestEndedRequestIsForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := time.Unix(0, 0)
+	o := newOverloadSim(start, 2)
+	request := func(i int, sequence uint32) Packet {
+		p := o.packet(testFlow(i), FlagAck, 100)
+		p.RequestID, p.Seq = "earlier", sequence
+		return p
+	}
+	f := o.forward(testFlow(1))
+	for i := range 2 {
+		o.confirmHeld(start, testFlow(i))
+		o.dispatcher.HandleForward(start, &f, request(i, 1))
+	}
+	reply := Packet{Destination: testFlow(0).Caller, Flags: FlagAck, Length: 100, Source: testFlow(0).Service}
+	o.dispatcher.HandleServerPacket(start, reply)
+	state, _ := o.dispatcher.flows.Get(start, testFlow(1))
+	state.queueTime = time.Second
+	o.dispatcher.Sweep(start.Add(3 * time.Second))
+	g.Expect(state.queueTime).To(gomega.BeZero())
+	g.Expect(o.dispatcher.Busy()).To(gomega.BeZero())
+	g.Expect(o.dispatcher.TakeEnded()[0].RequestID).To(gomega.Equal("earlier"))
+	for _, reset := range o.dispatcher.ResetServerFlows(start.Add(3 * time.Second)) {
+		g.Expect(reset.RequestID).To(gomega.BeEmpty(), "%v", reset.Flow)
+	}
+}
+
 // The last packets of a closing flow, such as the acknowledgement of its caller's FIN, must not make the agent take the
 // flow for an open one that it did not know.
 func TestClosedFlowsAreNotCounted(t *testing.T) {
--- a/lib/flows/requests.go
+++ b/lib/flows/requests.go
@@ -108,9 +108,15 @@
 	if state.inProgress {
 		d.busy = max(0, d.busy-1)
 	}
-	state.inProgress = false
-	state.requestSeen = false
-	state.queueTime = 0
+	state.endRequest()
+}
+
+// endRequest forgets the request in progress.
+func (s *flowState) endRequest() {
+	s.inProgress = false
+	s.queueTime = 0
+	s.requestID = ""
+	s.requestSeen = false
 }
 
 // recordAnswered records that the response to a request has begun, and updates the mean service time. When more requests
