Bound the search of every service by what agents say of their flows

Change: agents report the service addresses of their flows once they know all of them (from the first start, when they join without being listed, or a flow's lifetime after a restart), and at once when an address is new. Agents of services that the flow's address is not known to have been routed to are asked only if they name the address or don't know.

Ruled out: the routing history of balancers that have run for a flow's lifetime. A version that came and went between two reads is missed.

Test: TestOnlyAgentsThatMayHoldTheAddressAreSearched, TestAgentKnowsItsAddressesOnceEarlierFlowsHaveExpired; TestOnlyEndedFlowsAreResetWhileRoutesMove with agents that report so.

--- a/agent/tuple/members.go
+++ b/agent/tuple/members.go
@@ -85,6 +85,9 @@
 		n.requestProbe()
 	default:
 		n.config.Log.Info("Waiting for a backend server before joining.", logs.Fields{"members": len(members)})
+		n.mu.Lock()
+		n.dispatcher.KnowAllFlows()
+		n.mu.Unlock()
 		n.waitForServer()
 		n.join(true)
 	}
--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -81,6 +81,10 @@
 func New(config Config) (*Node, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	server := flows.NewServer(config.Service, config.AnnounceInterval)
+	var knownFrom time.Time
+	if !config.FirstStart {
+		knownFrom = time.Now().Add(config.FlowLifetime) // the backend server may hold flows of before this start
+	}
 	n := &Node{
 		archive: snap.NewArchive(config.Store, config.Address),
 		clock:   clock.NewTicker(timerResolution),
@@ -94,6 +98,7 @@
 		dispatcher: flows.NewDispatcher(flows.DispatcherConfig{
 			FirstEcho:    rand.Uint32(),
 			FlowLifetime: config.FlowLifetime,
+			KnownFrom:    knownFrom,
 			Self:         flows.EndpointOf(config.Address),
 			Server:       server,
 			Service:      flows.HashName(config.Service),
--- a/agent/tuple/packets.go
+++ b/agent/tuple/packets.go
@@ -135,8 +135,12 @@
 	}
 	n.mu.Lock()
 	balancer, sendOwner := n.dispatcher.HandleServerPacket(now, packet)
+	addressAdded := n.dispatcher.TakeAddressAdded()
 	released := n.dispatcher.Release(now)
 	n.mu.Unlock()
+	if addressAdded {
+		n.requestReport()
+	}
 	out.QueueToCaller(datagram, packet.Destination)
 	if sendOwner {
 		out.QueueMessage(flows.Owner{Flow: packet.ServerFlow()}.Append, balancer)
--- a/lib/flows/agents.go
+++ b/lib/flows/agents.go
@@ -263,6 +263,12 @@
 	return agent.report.Service, true
 }
 
+// mayHold reports whether the backend server of an agent may hold a flow of a service address.
+func (a *Agents) mayHold(agent, address Endpoint) bool {
+	state := a.byAddress[agent]
+	return state == nil || state.report.mayHold(address)
+}
+
 // LastReport returns the last report of an agent and its age.
 func (a *Agents) LastReport(now time.Time, address Endpoint) (Report, time.Duration) {
 	agent := a.byAddress[address]
--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -56,6 +56,7 @@
 type DispatcherConfig struct {
 	FirstEcho    uint32        // random, so that bounced packets of an earlier process match no delivery of this one
 	FlowLifetime time.Duration // time after which an idle flow is forgotten
+	KnownFrom    time.Time     // from when this process knows all flows of its backend server; zero if it does from the start
 	Self         Endpoint      // agent's address for messages between processes
 	Server       *Server
 	Service      NameHash
@@ -95,6 +96,7 @@
 	deliveries      []delivery // ring, indexed by echo
 	ended           []Ended    // requests that ended since the last TakeEnded
 	flows           *Cache[Flow, *flowState]
+	held            heldAddresses
 	meanHandshake   time.Duration // moving average of the time from a flow's admission to its first request; zero until known
 	meanServiceTime time.Duration // moving average; zero until a request has been answered
 	nextEcho        uint32
@@ -110,6 +112,7 @@
 		config:      config,
 		deliveries:  make([]delivery, deliveryTableSize),
 		flows:       NewCache[Flow, *flowState](flowCapacity, config.FlowLifetime),
+		held:        heldAddresses{knownFrom: config.KnownFrom, lastSeen: map[Endpoint]time.Time{}, lifetime: config.FlowLifetime},
 		nextEcho:    config.FirstEcho,
 		queue:       NewWaitQueue(queueCapacity),
 		subscribers: NewSubscribers(),
@@ -200,6 +203,7 @@
 // Owner message to, if any.
 func (d *Dispatcher) HandleServerPacket(now time.Time, p Packet) (balancer Endpoint, notify bool) {
 	flow := p.ServerFlow()
+	d.held.record(now, flow.Service)
 	if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
 		delete(d.restored.acks, flow)
 		d.closed.Put(now, flow, struct{}{})
@@ -239,9 +243,19 @@
 	return d.subscribers.DueReports(now, changed)
 }
 
+// KnowAllFlows records that the backend server held no flows before this process started.
+func (d *Dispatcher) KnowAllFlows() { d.held.knownFrom = time.Time{} }
+
+// TakeAddressAdded reports whether the backend server has got its first flow of a service address since the last call.
+// Balancers should be told at once: they don't look for flows of other addresses here.
+func (d *Dispatcher) TakeAddressAdded() bool { return d.held.takeAdded() }
+
 // Report returns the agent's current report; DueReport.Interval replaces its Interval for each balancer.
 func (d *Dispatcher) Report(now time.Time) Report {
+	addresses, known := d.held.list(now)
 	return Report{
+		Addresses:       addresses,
+		AddressesKnown:  known,
 		Busy:            d.busy + d.queue.Len(),
 		Flows:           d.flows.Len(),
 		Interval:        slowReportInterval,
@@ -264,6 +278,7 @@
 func (d *Dispatcher) Sweep(now time.Time) {
 	d.closed.Sweep(now)
 	d.flows.Sweep(now)
+	d.held.sweep(now)
 	d.busy = 0
 	d.flows.Each(func(flow Flow, state *flowState) {
 		if state.inProgress && now.After(state.deadline) {
--- a/lib/flows/message.go
+++ b/lib/flows/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 )
 
@@ -88,6 +89,8 @@
 
 // Report tells a balancer the state and load of an agent.
 type Report struct {
+	Addresses       []Endpoint    // service addresses of all flows that the backend server may hold; only if AddressesKnown
+	AddressesKnown  bool          // the agent knows all flows of its backend server, and Addresses is complete
 	Busy            int           // requests in progress and queued
 	Flows           int           // open flows
 	Interval        time.Duration // longest time until the next report while the balancer keeps sending packets
@@ -174,6 +177,11 @@
 	return !r.failed
 }
 
+// mayHold reports whether the backend server may hold a flow of a service address.
+func (p Report) mayHold(address Endpoint) bool {
+	return !p.AddressesKnown || slices.Contains(p.Addresses, address)
+}
+
 // Append appends the encoded message.
 func (p Report) Append(dst []byte) []byte {
 	dst = append(dst, byte(KindReport), byte(p.State), flagBit(p.Warming, 1))
@@ -183,7 +191,11 @@
 	dst = binary.BigEndian.AppendUint16(dst, clampUint16(p.Flows))
 	dst = binary.BigEndian.AppendUint16(dst, clampUint16(p.Slots))
 	dst = binary.BigEndian.AppendUint16(dst, millisUint16(p.MeanServiceTime))
-	return binary.BigEndian.AppendUint16(dst, millisUint16(p.Interval))
+	dst = binary.BigEndian.AppendUint16(dst, millisUint16(p.Interval))
+	if !p.AddressesKnown {
+		return dst
+	}
+	return appendList(dst, p.Addresses)
 }
 
 // Decode decodes the message and reports whether it is well-formed.
@@ -199,6 +211,9 @@
 	p.Slots = int(r.uint16())
 	p.MeanServiceTime = time.Duration(r.uint16()) * millisecond
 	p.Interval = time.Duration(r.uint16()) * millisecond
+	if p.AddressesKnown = len(r.rest) > 0; p.AddressesKnown {
+		p.Addresses = r.list()
+	}
 	return !r.failed && p.State <= StateLeft
 }
 
--- a/lib/flows/message_test.go
+++ b/lib/flows/message_test.go
@@ -48,11 +48,15 @@
 
 func TestReportRoundTrip(t *testing.T) {
 	g := gomega.NewWithT(t)
-	sent := Report{Busy: 3, Flows: 99, Interval: time.Second, MeanServiceTime: 55 * time.Millisecond, Service: 7, Slots: 2, State: StateDraining, Warming: true, Zone: 9}
+	sent := Report{Addresses: []Endpoint{testAddress, floodAddress}, AddressesKnown: true, Busy: 3, Flows: 99, Interval: time.Second, MeanServiceTime: 55 * time.Millisecond, Service: 7, Slots: 2, State: StateDraining, Warming: true, Zone: 9}
 	var got Report
 	g.Expect(got.Decode(sent.Append(nil))).To(gomega.BeTrue())
 	g.Expect(got).To(gomega.Equal(sent))
 	g.Expect(got.Decode(sent.Append(nil)[:10])).To(gomega.BeFalse())
+	sent.Addresses, sent.AddressesKnown = nil, false
+	got = Report{}
+	g.Expect(got.Decode(sent.Append(nil))).To(gomega.BeTrue())
+	g.Expect(got).To(gomega.Equal(sent))
 }
 
 func FuzzMessages(f *testing.F) {
--- a/lib/flows/moves_test.go
+++ b/lib/flows/moves_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 )
 
@@ -86,3 +87,62 @@
 		}
 	}
 }
+
+// A search over all services is bounded by what agents say of the addresses of their flows.
+func TestOnlyAgentsThatMayHoldTheAddressAreSearched(t *testing.T) {
+	packet := Packet{Destination: testAddress, Flags: FlagAck, Source: testFlow(1).Caller}
+	own, other := testEndpoint(2, 0), testEndpoint(2, 1)
+	tests := map[string]struct {
+		report Report // of an agent of another service
+		asked  bool
+	}{
+		"agent that has just restarted":       {Report{}, true},
+		"agent with flows of another address": {Report{Addresses: []Endpoint{floodAddress}, AddressesKnown: true}, false},
+		"agent with flows of the address":     {Report{Addresses: []Endpoint{floodAddress, testAddress}, AddressesKnown: true}, true},
+		"agent without flows":                 {Report{AddressesKnown: true}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			now := time.Unix(0, 0)
+			d := NewDirector(DirectorConfig{FlowLifetime: time.Minute, LostAfter: testLostAfter})
+			d.SetRoutes(now, testRoutes(1, testAddress))
+			// An agent of the route's service is asked whatever it says: the flow may have opened there since.
+			d.RecordReport(now, own, Report{AddressesKnown: true, Service: HashName(testService), State: StateReady})
+			test.report.Service, test.report.State = HashName(otherServices[0]), StateReady
+			d.RecordReport(now, other, test.report)
+			forwarded := d.HandlePacket(now, packet, nil)
+			g.Expect(forwarded.To).To(gomega.Equal([]Endpoint{own}))
+			returned := forwarded.Forward
+			returned.RejectedBy = []Endpoint{own}
+			next := d.HandleReturn(now, &returned, packet)
+			if !test.asked {
+				g.Expect(next.Action).To(gomega.Equal(ActRefreshMembers))
+				return
+			}
+			g.Expect(next.To).To(gomega.Equal([]Endpoint{other}))
+		})
+	}
+}
+
+func TestAgentKnowsItsAddressesOnceEarlierFlowsHaveExpired(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := time.Unix(0, 0)
+	held := heldAddresses{knownFrom: start.Add(time.Minute), lastSeen: map[Endpoint]time.Time{}, lifetime: time.Minute}
+	held.record(start, testAddress)
+	g.Expect(held.takeAdded()).To(gomega.BeTrue())
+	held.record(start, testAddress)
+	g.Expect(held.takeAdded()).To(gomega.BeFalse())
+	_, known := held.list(start)
+	g.Expect(known).To(gomega.BeFalse())
+	addresses, known := held.list(start.Add(time.Minute))
+	g.Expect(known).To(gomega.BeTrue())
+	g.Expect(addresses).To(gomega.Equal([]Endpoint{testAddress}))
+	held.sweep(start.Add(time.Minute + 1))
+	g.Expect(held.lastSeen).To(gomega.BeEmpty())
+	for i := range maxAgentsPerMessage + 1 {
+		held.record(start, testEndpoint(3, i))
+	}
+	_, known = held.list(start.Add(time.Minute))
+	g.Expect(known).To(gomega.BeFalse(), "they don't fit into a message")
+}
--- a/lib/flows/network_test.go
+++ b/lib/flows/network_test.go
@@ -108,15 +108,19 @@
 	a.startMillis++
 	a.running = true
 	a.flows = map[Flow]bool{}
-	n.restartAgent(a)
+	n.startAgent(a, time.Time{})
 }
 
 // restartAgent restarts the agent's process, which restores the stored snapshot; the backend server keeps its flows.
-func (n *testNetwork) restartAgent(a *testAgent) {
+func (n *testNetwork) restartAgent(a *testAgent) { n.startAgent(a, n.now.Add(time.Minute)) }
+
+// startAgent starts the agent's process, which knows all flows of the backend server from the given time.
+func (n *testNetwork) startAgent(a *testAgent, knownFrom time.Time) {
 	a.server = NewServer(a.service, time.Second)
 	a.dispatcher = NewDispatcher(DispatcherConfig{
 		FirstEcho:    n.random.Uint32(),
 		FlowLifetime: time.Minute,
+		KnownFrom:    knownFrom,
 		Self:         a.address,
 		Server:       a.server,
 		Service:      HashName(a.service),
@@ -157,17 +161,21 @@
 		}
 		n.announce(a)
 		a.snapshot = a.dispatcher.Snapshot(n.now)
-		if a.unreachable() {
-			continue
-		}
-		for _, d := range n.directors {
-			report := a.dispatcher.Report(n.now)
-			report.Interval = testReportInterval
-			d.Agents.RecordReport(n.now, a.address, report)
+		if !a.unreachable() {
+			n.report(a)
 		}
 	}
 }
 
+// report makes an agent report to every director.
+func (n *testNetwork) report(a *testAgent) {
+	for _, d := range n.directors {
+		report := a.dispatcher.Report(n.now)
+		report.Interval = testReportInterval
+		d.Agents.RecordReport(n.now, a.address, report)
+	}
+}
+
 func (n *testNetwork) balancers() []Endpoint {
 	var addresses []Endpoint
 	for address := range n.directors {
@@ -280,6 +288,9 @@
 	if balancer, notify := a.dispatcher.HandleServerPacket(n.now, packet); notify {
 		n.send(testPacket{from: a.address, kind: KindOwner, packet: Packet{Destination: flow.Service, Source: flow.Caller}, to: balancer})
 	}
+	if a.dispatcher.TakeAddressAdded() && !a.unreachable() {
+		n.report(a)
+	}
 }
 
 // advance advances the clock with reports of the agents, and then runs the timers of the directors.
--- a/lib/flows/search.go
+++ b/lib/flows/search.go
@@ -33,7 +33,7 @@
 	for range services {
 		service := services[search.fanOuts%len(services)] // rotate, since all agents of one service may be silent
 		search.fanOuts++
-		responsive, silent := d.Agents.holders(now, service, flow, search.rejectedBy)
+		responsive, silent := d.holders(now, service, flow, search.rejectedBy)
 		agents := append(responsive, silent...)
 		if len(agents) == 0 {
 			continue
@@ -51,7 +51,7 @@
 	service := route.ServiceFor(flow)
 	silentService, silent := service, []Endpoint(nil)
 	for _, service := range d.searchOrder(flow.Service, service) {
-		responsive, silentAgents := d.Agents.holders(now, service, flow, search.rejectedBy)
+		responsive, silentAgents := d.holders(now, service, flow, search.rejectedBy)
 		if len(responsive) > 0 {
 			search.sentAt, search.fannedOut = now, false
 			list := responsive[:min(len(responsive), maxAgentsPerMessage)]
@@ -120,7 +120,7 @@
 		return true
 	}
 	for _, service := range d.searchOrder(flow.Service, route.ServiceFor(flow)) {
-		responsive, silent := d.Agents.holders(now, service, flow, rejectedBy)
+		responsive, silent := d.holders(now, service, flow, rejectedBy)
 		if len(responsive)+len(silent) > 0 {
 			return true
 		}
@@ -128,6 +128,18 @@
 	return false
 }
 
+// holders returns the agents of a service, except those in rejectedBy, that may hold a flow: the responsive ones and the
+// silent ones. Of a service that the flow's address is not known to have been routed to, these are only the agents that
+// hold flows of the address or don't know it.
+func (d *Director) holders(now time.Time, service NameHash, flow Flow, rejectedBy []Endpoint) (responsive, silent []Endpoint) {
+	responsive, silent = d.Agents.holders(now, service, flow, rejectedBy)
+	if slices.Contains(d.servicesByAddress[flow.Service], service) {
+		return responsive, silent
+	}
+	unrelated := func(agent Endpoint) bool { return !d.Agents.mayHold(agent, flow.Service) }
+	return slices.DeleteFunc(responsive, unrelated), slices.DeleteFunc(silent, unrelated)
+}
+
 // searchOrder returns the services whose agents may hold flows of an address: the given one first, then those that the
 // address is known to have been routed to, then all others that agents report, since the address may have been routed to
 // any of them before this balancer started.
--- a/lib/flows/trace.go
+++ b/lib/flows/trace.go
@@ -28,7 +28,7 @@
 	}
 	trace.Route = route.Name
 	for _, service := range d.searchOrder(flow.Service, route.ServiceFor(flow)) {
-		responsive, silent := d.Agents.holders(now, service, flow, nil)
+		responsive, silent := d.holders(now, service, flow, nil)
 		trace.SearchOrder = append(append(trace.SearchOrder, responsive...), silent...)
 	}
 	return trace
