--- a/lib/flows/moves_test.go
+++ b/lib/flows/moves_test.go
@@ -61,13 +61,7 @@
 			flows++
 			n.injectRouteMove(t)
 			n.injectFault(t)
-			n.advance(rapid.SampledFrom([]time.Duration{5, 50, 300, 900}).Draw(t, "pause") * time.Millisecond)
-			for i := range flows {
-				if n.ownerOf[testFlow(i)] != nil {
-					n.sendFromCaller(testFlow(i), FlagAck, 100)
-				}
-			}
-			n.checkWrongResets(t)
+			n.useFlows(t, flows)
 		}
 		n.checkRecovery(t, flows)
 	})
--- a/lib/flows/network_test.go
+++ b/lib/flows/network_test.go
@@ -394,18 +394,23 @@
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			n.injectFault(t)
-			n.advance(rapid.SampledFrom([]time.Duration{5, 50, 300, 900}).Draw(t, "pause") * time.Millisecond)
-			for i := range flows {
-				if n.ownerOf[testFlow(i)] != nil {
-					n.sendFromCaller(testFlow(i), FlagAck, 100)
-				}
-			}
-			n.checkWrongResets(t)
+			n.useFlows(t, flows)
 		}
 		n.checkRecovery(t, flows)
 	})
 }
 
+// useFlows sends a packet on each open flow after a pause, and fails when a living flow has been reset.
+func (n *testNetwork) useFlows(t *rapid.T, flows int) {
+	n.advance(rapid.SampledFrom([]time.Duration{5, 50, 300, 900}).Draw(t, "pause") * time.Millisecond)
+	for i := range flows {
+		if n.ownerOf[testFlow(i)] != nil {
+			n.sendFromCaller(testFlow(i), FlagAck, 100)
+		}
+	}
+	n.checkWrongResets(t)
+}
+
 // injectFault restarts, stops, adds or disconnects a process.
 func (n *testNetwork) injectFault(t *rapid.T) {
 	a := n.agents[rapid.IntRange(0, len(n.agents)-1).Draw(t, "agent")]
--- a/standin/measuresflows.go
+++ b/standin/measuresflows.go
@@ -23,17 +23,19 @@
 )
 
 type flowPolicy struct {
-	name   string
-	policy flows.Policy
+	name             string
+	policy           flows.Policy
+	withoutSnapshots bool
 }
 
 func flowPolicies() []flowPolicy {
 	return []flowPolicy{
-		{"all (chosen)", flows.Policy{}},
-		{"order only", flows.Policy{WithoutLoads: true}},
-		{"without hints", flows.Policy{WithoutHints: true}},
-		{"without proofs", flows.Policy{WithoutProofs: true}},
-		{"without hints and proofs", flows.Policy{WithoutHints: true, WithoutProofs: true}},
+		{name: "all (chosen)"},
+		{name: "order only", policy: flows.Policy{WithoutLoads: true}},
+		{name: "without hints", policy: flows.Policy{WithoutHints: true}},
+		{name: "without proofs", policy: flows.Policy{WithoutProofs: true}},
+		{name: "without snapshots", withoutSnapshots: true},
+		{name: "without snapshots and proofs", policy: flows.Policy{WithoutProofs: true}, withoutSnapshots: true},
 	}
 }
 
@@ -61,28 +63,31 @@
 	}
 	powerLoss := base
 	powerLoss.OutageDuration, powerLoss.OutageAt = powerLossDuration, powerLossAt
+	powerLossUnsafe := powerLoss
+	powerLossUnsafe.UnsafePersistent = true
 	full := base
 	full.ShortFlowRate, full.PersistentFlowRate = 370, 370
 	return []flowScenario{
 		{base, "flows-half", "half of what the backend servers carry"},
 		{full, "flows-full", "nine tenths of what the backend servers carry"},
 		{powerLoss, "flows-power-loss", "half of it, all hosts without power from 3 s to 4 s"},
+		{powerLossUnsafe, "flows-power-loss-unsafe", "the same, requests on persistent flows can't be repeated"},
 	}
 }
 
 // printFlows prints a table that compares the forwarding policies in each scenario, and draws its plot.
 func (c *measuresCommand) printFlows() error {
 	for _, scenario := range flowScenarios() {
-		fmt.Printf("Carried flows, %s:\n\n", scenario.title)
-		fmt.Println("| policy | within the aim | not served | messages for each request |")
+		fmt.Printf("Flows without an ID, %s:\n\n", scenario.title)
+		fmt.Println("| policy | within the latency target | failed | messages for each request |")
 		fmt.Println("| --- | --- | --- | --- |")
 		chart := plot.New()
-		chart.Title.Text = "Carried flows, " + scenario.title
-		chart.X.Label.Text = "second of asking"
-		chart.Y.Label.Text = "share answered within the aim"
+		chart.Title.Text = "Flows without an ID, " + scenario.title
+		chart.X.Label.Text = "second of the request"
+		chart.Y.Label.Text = "share answered within the latency target"
 		chart.Y.Min, chart.Y.Max = 0, 1
 		for i, p := range flowPolicies() {
-			result := c.sumFlows(scenario.config, p.policy)
+			result := c.sumFlows(scenario.config, p)
 			requests := float64(result.Requests)
 			fmt.Printf("| %s | %.1f %% | %.2f %% | %.2f |\n", p.name,
 				100*float64(result.OnTime)/requests, 100*float64(result.Failed)/requests, float64(result.Messages)/requests)
@@ -102,9 +107,9 @@
 }
 
 // sumFlows returns the sums of the counts of five runs, and the means of their shares.
-func (c *measuresCommand) sumFlows(config model.FlowsConfig, policy flows.Policy) model.FlowsResult {
+func (c *measuresCommand) sumFlows(config model.FlowsConfig, p flowPolicy) model.FlowsResult {
 	var sum model.FlowsResult
-	config.Policy = policy
+	config.Policy, config.WithoutSnapshots = p.policy, p.withoutSnapshots
 	for i := range uint64(measureSeeds) {
 		config.Seed = c.Seed + i
 		result := model.SimulateFlows(config)
