--- a/lib/flows/place.go
+++ b/lib/flows/place.go
@@ -13,8 +13,6 @@
 	otherZoneCost = 0.1
 	// slotsPerFlow is the number of slots that an open flow is expected to occupy on average.
 	slotsPerFlow = 0.05
-	// warmingCostFactor is how much more a request costs on a backend server that has just started.
-	warmingCostFactor = 1.6
 )
 
 // candidates returns the first eligible agents in the hash order of a new flow, without those in skip.
@@ -79,11 +77,7 @@
 func (s *agentState) utilisation() float64 {
 	slots := float64(max(s.report.Slots, 1))
 	busy := (float64(s.report.Busy)+s.meanBusy)/2 + float64(s.assigned)
-	utilisation := (busy + slotsPerFlow*float64(s.report.Flows)) / slots
-	if s.report.Warming {
-		utilisation *= warmingCostFactor
-	}
-	return utilisation
+	return (busy + slotsPerFlow*float64(s.report.Flows)) / slots
 }
 
 // cost returns the utilisation of an agent, raised when it is not in the given zone.
