--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -329,8 +329,8 @@
 	return state, true
 }
 
-// handleOverload forwards or returns a new flow until its balancer has chosen this agent as the least loaded one. Then
-// it queues the flow if it can be served before its timeout, and otherwise refuses it at once.
+// handleOverload forwards a new flow while untried agents remain. The last agent queues the flow if it can be served
+// before its timeout, and otherwise refuses it at once.
 func (d *Dispatcher) handleOverload(now time.Time, f *Forward, p Packet) AgentVerdict {
 	f.Overloaded = true
 	if len(f.Next) > 0 {
