Forget no agent while none is heard

Ruled out: the silence of the own cut after it has healed, which is forgiven.

Test: TestNoAgentIsForgottenWhileNoneIsHeard, failed before. Two tests of forgetting let another agent report meanwhile, as hellos make it do.

--- a/lib/flows/agents.go
+++ b/lib/flows/agents.go
@@ -140,10 +140,13 @@
 	}
 }
 
-// ForgetSilent removes and returns the agents that have been silent for long. It removes none when more than half are
-// silent, since then this balancer itself may be unreachable.
+// ForgetSilent removes and returns the agents that have been silent for long. It removes none while no agent is heard, or
+// when more than half are silent, since then this balancer itself may be unreachable.
 func (a *Agents) ForgetSilent(now time.Time) []Endpoint {
 	a.forgottenAt.Sweep(now)
+	if a.Unreachable(now) {
+		return nil
+	}
 	var silent []Endpoint
 	for address, agent := range a.byAddress {
 		if agent.reportPending && now.Sub(agent.pendingSince) > forgetAfterFactor*a.lostAfter {
