Prove the end of flows by a list from the store, at any number of balancers

Cause: a reset by search rested on the word of all balancers heard within 10 s. Ruled out: polling all known balancers, since dead ones stay in the list, and quorums, which hold only with luck. Change: an agent's report says whether it is on the list of members, new flows go to listed agents, and a flow has ended when all agents on a list that was read after the search have said no. One read serves all balancers that ask at about the same time. The reader of the configuration stays the reader, and the others take over after random times, which needs no knowledge of who is alive; the interval follows the new setting configDeadline.

--- a/agent/tuple/members.go
+++ b/agent/tuple/members.go
@@ -29,6 +29,7 @@
 	for n.ctx.Err() == nil {
 		select {
 		case <-n.joinRequested:
+			n.setListing(flows.ListingAbsent)
 			n.join(false)
 			netio.Sleep(n.ctx, minJoinPause)
 		case <-n.leaveRequested:
@@ -54,6 +55,7 @@
 
 // leave removes this agent from the member list, and the snapshot of its flows, which have ended, from the store.
 func (n *Node) leave(ctx context.Context) error {
+	n.setListing(flows.ListingAbsent)
 	if err := n.directory.Leave(ctx); err != nil {
 		return err
 	}
@@ -87,6 +89,7 @@
 		n.config.Log.Info("Waiting for a backend server before joining.", logs.Fields{"members": len(members)})
 		n.mu.Lock()
 		n.dispatcher.KnowAllFlows()
+		n.dispatcher.SetListing(flows.ListingAbsent)
 		n.mu.Unlock()
 		n.waitForServer()
 		n.join(true)
@@ -137,6 +140,7 @@
 	}
 	n.mu.Lock()
 	n.agentCount = len(members) - len(balancers)
+	n.dispatcher.SetListing(flows.ListingConfirmed)
 	n.mu.Unlock()
 	n.addSubscribers(balancers)
 }
@@ -152,6 +156,13 @@
 	n.requestReport()
 }
 
+// setListing sets what reports say about this agent's entry in the member list.
+func (n *Node) setListing(listing flows.Listing) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dispatcher.SetListing(listing)
+}
+
 // notifyServerChanged wakes waitForServer.
 func (n *Node) notifyServerChanged() {
 	select {
--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -114,10 +114,19 @@
 		serverChanged:   make(chan struct{}, 1),
 		stop:            stop,
 	}
+	n.dispatcher.SetListing(startListing(config.FirstStart))
 	n.registerGauges(config.Stats)
 	return n, n.open()
 }
 
+// startListing returns what an agent knows about its entry in the list of members when it starts.
+func startListing(firstStart bool) flows.Listing {
+	if firstStart {
+		return flows.ListingAbsent
+	}
+	return flows.ListingUnknown
+}
+
 // AddSeeds starts to report to balancers that were added to the settings after the start.
 func (n *Node) AddSeeds(seeds []netip.AddrPort) { n.addSubscribers(seeds) }
 
--- a/balancer/tuple/isolation.go
+++ b/balancer/tuple/isolation.go
@@ -65,7 +65,7 @@
 // those that it has sent packets to may be down, and some balancers for digests.
 func (n *Node) checkIsolation(now time.Time) {
 	n.mu.Lock()
-	n.isolation.update(now, n.director.Agents.Unreachable(now), func() []netip.AddrPort { return n.peers.alive(now) })
+	n.isolation.update(now, n.director.Agents.Unreachable(now), func() []netip.AddrPort { return n.peers.heardLately(now) })
 	asked, cutOff := n.isolation.asked, n.isolation.cutOff(now)
 	var agents []flows.Endpoint
 	if !n.isolation.since.IsZero() {
--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -28,23 +28,24 @@
 
 // Config holds the settings and dependencies of a Node.
 type Config struct {
-	Address      netip.AddrPort // local address for messages and RPC between processes
-	CallerPort   uint16         // destination port of packets to callers
-	Codec        flows.Codec
-	ConfigKey    string // store key of the configuration
-	FirstStart   bool   // this balancer was never registered as a member
-	FlowLifetime time.Duration
-	Front        netip.AddrPort // local address for callers' packets
-	Ignored      *netio.IgnoredInputs
-	Log          *logs.Logger
-	LostAfter    time.Duration // see flows.DirectorConfig
-	Policy       flows.Policy
-	Routes       func(value []byte) (flows.Routes, error) // decodes the configuration
-	Seeds        []netip.AddrPort                         // balancers to contact before the members are known
-	Stats        *stats.Server
-	Store        store.Store
-	Trust        *trust.Allowlist
-	Zone         string
+	Address        netip.AddrPort // local address for messages and RPC between processes
+	CallerPort     uint16         // destination port of packets to callers
+	Codec          flows.Codec
+	ConfigDeadline time.Duration // time within which a change of the configuration must be applied
+	ConfigKey      string        // store key of the configuration
+	FirstStart     bool          // this balancer was never registered as a member
+	FlowLifetime   time.Duration
+	Front          netip.AddrPort // local address for callers' packets
+	Ignored        *netio.IgnoredInputs
+	Log            *logs.Logger
+	LostAfter      time.Duration // see flows.DirectorConfig
+	Policy         flows.Policy
+	Routes         func(value []byte) (flows.Routes, error) // decodes the configuration
+	Seeds          []netip.AddrPort                         // balancers to contact before the members are known
+	Stats          *stats.Server
+	Store          store.Store
+	Trust          *trust.Allowlist
+	Zone           string
 }
 
 // Node is one balancer process.
@@ -52,7 +53,7 @@
 	client       *peer.Client
 	clock        *clock.Ticker
 	config       Config
-	configReadAt time.Time // last time that any balancer is known to have read the configuration from the store
+	configReads  configReads
 	ctx          context.Context
 	cutOff       atomic.Bool // see isolation
 	director     *flows.Director
@@ -60,10 +61,10 @@
 	front        *udpio.Socket
 	isolation    isolation
 	memberChecks chan struct{} // wakes runMembers to confirm the members
+	memberReads  *sharedRead[[]member.Member]
 	meter        *meter
-	mu           sync.Mutex // guards configReadAt, director, isolation, meter.notForwarded, peers, pulling and rawConfig
+	mu           sync.Mutex // guards configReads, director, isolation, meter.notForwarded, peers, pulling and rawConfig
 	peers        *peerSet
-	poll         memberPoll
 	pulling      bool   // a pull from another balancer is in progress
 	rawConfig    []byte // configuration as encoded in the store
 	server       *peer.Server
@@ -76,10 +77,11 @@
 func New(config Config) (*Node, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{
-		client: peer.NewClient(),
-		clock:  clock.NewTicker(timerResolution),
-		config: config,
-		ctx:    ctx,
+		client:      peer.NewClient(),
+		clock:       clock.NewTicker(timerResolution),
+		config:      config,
+		configReads: newConfigReads(config.Address, config.ConfigDeadline),
+		ctx:         ctx,
 		director: flows.NewDirector(flows.DirectorConfig{
 			FlowLifetime: config.FlowLifetime,
 			LostAfter:    config.LostAfter,
@@ -98,6 +100,7 @@
 		peers:        newPeerSet(config.Address, config.Seeds),
 		stop:         stop,
 	}
+	n.memberReads = newSharedRead(ctx, listPause, n.directory.List)
 	n.registerGauges(config.Stats)
 	return n, n.open()
 }
--- a/balancer/tuple/observe.go
+++ b/balancer/tuple/observe.go
@@ -50,7 +50,7 @@
 	}
 	gauge("cyclamendock_balancer_agents", func() float64 { return float64(n.director.Agents.ReportedCount()) })
 	gauge("cyclamendock_balancer_config_version", func() float64 { return float64(n.director.Version()) })
-	gauge("cyclamendock_balancer_config_age_seconds", func() float64 { return time.Since(n.configReadAt).Seconds() })
+	gauge("cyclamendock_balancer_config_age_seconds", func() float64 { return time.Since(n.configReads.lastRead).Seconds() })
 	gauge("cyclamendock_balancer_flows_waiting", func() float64 { return float64(n.director.Waiting()) })
 	gauge("cyclamendock_balancer_peers", func() float64 { return float64(len(n.peers.list)) })
 }
--- a/balancer/tuple/peers.go
+++ b/balancer/tuple/peers.go
@@ -16,8 +16,7 @@
 	digestInterval = time.Second
 	// digestFanout is the number of balancers that receive a digest each time.
 	digestFanout = 3
-	// peerTimeout is how long a balancer may be silent before others take over its tasks. While there are few
-	// balancers, each one sends a digest about once per digestInterval.
+	// peerTimeout is how long ago a balancer may have sent its last digest to count as heard lately.
 	peerTimeout = 10 * time.Second
 )
 
@@ -56,49 +55,16 @@
 	p.lastSeen[address] = now
 }
 
-// isResponsible reports whether this balancer has the highest rendezvous weight for an agent among the live balancers.
-func (p *peerSet) isResponsible(now time.Time, agent flows.Endpoint) bool {
-	ownWeight := rendezvousWeight(agent, p.self)
-	for other, seen := range p.lastSeen {
-		if now.Sub(seen) < peerTimeout && rendezvousWeight(agent, other) > ownWeight {
-			return false
-		}
-	}
-	return true
-}
-
-// alive returns the other balancers that have sent a digest within peerTimeout.
-func (p *peerSet) alive(now time.Time) []netip.AddrPort {
-	var alive []netip.AddrPort
+// heardLately returns other balancers that have sent a digest within peerTimeout. With more than
+// digestFanout * peerTimeout / digestInterval balancers these are only a part of those that are alive.
+func (p *peerSet) heardLately(now time.Time) []netip.AddrPort {
+	var heard []netip.AddrPort
 	for other, seen := range p.lastSeen {
 		if now.Sub(seen) < peerTimeout {
-			alive = append(alive, other)
+			heard = append(heard, other)
 		}
 	}
-	return alive
-}
-
-// rank returns the index of this balancer among the live ones in address order.
-func (p *peerSet) rank(now time.Time) int {
-	rank := 0
-	for other, seen := range p.lastSeen {
-		if now.Sub(seen) < peerTimeout && other.Compare(p.self) < 0 {
-			rank++
-		}
-	}
-	return rank
-}
-
-// configCheckDue reports whether this balancer has to read the configuration, given when any balancer last read it.
-// Balancers of higher rank wait longer, so that each takes over when the ones before it fail to read.
-func (p *peerSet) configCheckDue(now, lastRead time.Time) bool {
-	rank := min(p.rank(now), maxConfigCheckRank)
-	return now.Sub(lastRead) > configCheckInterval+time.Duration(rank)*configCheckStagger
-}
-
-// rendezvousWeight returns the rendezvous hash of an agent and a balancer.
-func rendezvousWeight(agent flows.Endpoint, balancer netip.AddrPort) uint64 {
-	return xxhash.Sum64String(agent.String() + balancer.String())
+	return heard
 }
 
 // next returns the next balancers in round-robin order, at most digestFanout.
--- a/balancer/tuple/status.go
+++ b/balancer/tuple/status.go
@@ -58,7 +58,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	status.ConfigAgeMS = now.Sub(n.configReadAt).Milliseconds()
+	status.ConfigAgeMS = now.Sub(n.configReads.lastRead).Milliseconds()
 	status.Hints = n.director.HintCount()
 	status.Ready = !n.shuttingDown.Load() && n.director.Ready()
 	status.Version = n.director.Version()
--- a/balancer/tuple/sync.go
+++ b/balancer/tuple/sync.go
@@ -61,7 +61,7 @@
 	n.isolation.recordAnswer(from, theirs.AgentsHeard)
 	ours := n.digest(true)
 	if theirs.FromStore && theirs.Version <= ours.Version {
-		n.configReadAt = now
+		n.configReads.recordNotice(now, from)
 	}
 	n.mu.Unlock()
 	behind := theirs.Version > ours.Version || theirs.MembersHash != ours.MembersHash
@@ -69,9 +69,6 @@
 		go n.runPull(from)
 	}
 	ahead := ours.Version > theirs.Version || theirs.MembersHash != ours.MembersHash
-	if theirs.IsReply && theirs.MembersHash == ours.MembersHash {
-		n.poll.confirm(from)
-	}
 	if (ahead || theirs.ReplyRequired) && !theirs.IsReply {
 		n.socket.Send(ours.Append(nil), from)
 	}
--- a/lib/flows/agents.go
+++ b/lib/flows/agents.go
@@ -36,6 +36,7 @@
 	helloInterval time.Duration // shortest time until the next hello
 	lastHello     time.Time
 	lastReport    time.Time // zero when it has never reported
+	listing       Listing   // as far as this balancer knows
 	meanBusy      float64   // moving average of the requests in progress
 	pendingSince  time.Time // when the pending report was first expected
 	report        Report    // last report
@@ -69,7 +70,13 @@
 	if a.byAddress[address] != nil || a.forgottenAt.Has(now, address) {
 		return false
 	}
-	a.byAddress[address] = &agentState{address: address, helloInterval: minHelloInterval, pendingSince: now, reportPending: true}
+	a.byAddress[address] = &agentState{
+		address:       address,
+		helloInterval: minHelloInterval,
+		listing:       ListingUnknown,
+		pendingSince:  now,
+		reportPending: true,
+	}
 	return true
 }
 
@@ -81,6 +88,9 @@
 		a.forgottenAt.Delete(address)
 	}
 	a.Add(now, address)
+	if agent := a.byAddress[address]; agent != nil && agent.listing == ListingUnknown {
+		agent.listing = ListingConfirmed
+	}
 }
 
 // Remove removes an agent.
@@ -120,6 +130,9 @@
 	agent.assigned = 0
 	agent.lastReport = now
 	agent.helloInterval = minHelloInterval
+	if report.Listing != ListingUnknown { // a restarted agent that does not know yet may still have its entry
+		agent.listing = report.Listing
+	}
 	agent.report = report
 	agent.reportPending = false
 	return changed
--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -97,6 +97,7 @@
 	ended           []Ended    // requests that ended since the last TakeEnded
 	flows           *Cache[Flow, *flowState]
 	held            heldAddresses
+	listing         Listing
 	meanHandshake   time.Duration // moving average of the time from a flow's admission to its first request; zero until known
 	meanServiceTime time.Duration // moving average; zero until a request has been answered
 	nextEcho        uint32
@@ -259,6 +260,7 @@
 		Busy:            d.busy + d.queue.Len(),
 		Flows:           d.flows.Len(),
 		Interval:        slowReportInterval,
+		Listing:         d.listing,
 		MeanServiceTime: d.meanServiceTime,
 		Service:         d.config.Service,
 		Slots:           d.config.Server.Slots(),
@@ -268,6 +270,9 @@
 	}
 }
 
+// SetListing sets what the agent's reports say about its entry in the list of members.
+func (d *Dispatcher) SetListing(listing Listing) { d.listing = listing }
+
 // Busy returns the number of requests in progress.
 func (d *Dispatcher) Busy() int { return d.busy }
 
--- a/lib/flows/message.go
+++ b/lib/flows/message.go
@@ -87,6 +87,19 @@
 	}
 }
 
+// Listing tells whether an agent is on the list of members in the store.
+type Listing uint8
+
+// What an agent may know about its entry in the list of members.
+const (
+	// ListingConfirmed means that the agent has seen or made its entry.
+	ListingConfirmed Listing = iota
+	// ListingUnknown means that the agent has restarted and could not read the list yet.
+	ListingUnknown
+	// ListingAbsent means that the agent has removed its entry, has seen that there is none, or was told so.
+	ListingAbsent
+)
+
 // Report tells a balancer the state and load of an agent.
 type Report struct {
 	Addresses       []Endpoint    // service addresses of all flows that the backend server may hold; only if AddressesKnown
@@ -94,6 +107,7 @@
 	Busy            int           // requests in progress and queued
 	Flows           int           // open flows
 	Interval        time.Duration // longest time until the next report while the balancer keeps sending packets
+	Listing         Listing
 	MeanServiceTime time.Duration // mean service time of a request; zero when not known
 	Service         NameHash
 	Slots           int // requests that the backend server can run at once
@@ -128,6 +142,8 @@
 
 	forwardOverloaded = 1
 	forwardFinal      = 2
+
+	reportWarming = 1
 )
 
 // Append appends the encoded message of the given kind, KindForward or KindReturn.
@@ -184,7 +200,7 @@
 
 // Append appends the encoded message.
 func (p Report) Append(dst []byte) []byte {
-	dst = append(dst, byte(KindReport), byte(p.State), flagBit(p.Warming, 1))
+	dst = append(dst, byte(KindReport), byte(p.State), flagBit(p.Warming, reportWarming), byte(p.Listing))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(p.Service))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(p.Zone))
 	dst = binary.BigEndian.AppendUint16(dst, clampUint16(p.Busy))
@@ -203,7 +219,8 @@
 	r := reader{rest: message}
 	r.byte()
 	p.State = State(r.byte())
-	p.Warming = r.byte() != 0
+	p.Warming = r.byte() == reportWarming
+	p.Listing = Listing(r.byte())
 	p.Service = NameHash(r.uint64())
 	p.Zone = NameHash(r.uint64())
 	p.Busy = int(r.uint16())
@@ -214,7 +231,7 @@
 	if p.AddressesKnown = len(r.rest) > 0; p.AddressesKnown {
 		p.Addresses = r.list()
 	}
-	return !r.failed && p.State <= StateLeft
+	return !r.failed && p.State <= StateLeft && p.Listing <= ListingAbsent
 }
 
 // AppendHello appends an encoded message of kind KindHello.
--- a/lib/flows/network_test.go
+++ b/lib/flows/network_test.go
@@ -20,7 +20,7 @@
 var testAddress = Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
 
 func testEndpoint(group, i int) Endpoint {
-	return Endpoint{IP: [4]byte{10, byte(group), 0, byte(i + 1)}, Port: 7000}
+	return Endpoint{IP: [4]byte{10, byte(group), byte((i + 1) >> 8), byte(i + 1)}, Port: 7000}
 }
 
 func testFlow(i int) Flow {
@@ -67,6 +67,7 @@
 	delivered   map[Flow]int // number of packets delivered to the backend server that holds the flow
 	directors   map[Endpoint]*Director
 	inTransit   []testPacket
+	knownOnly   bool    // agents report only to the balancers that know them
 	loss        float64 // probability that a packet is lost
 	now         time.Time
 	ownerOf     map[Flow]*testAgent // agent whose backend server holds or held each flow
@@ -167,9 +168,12 @@
 	}
 }
 
-// report makes an agent report to every director.
+// report makes an agent report to every director, or to those that know it.
 func (n *testNetwork) report(a *testAgent) {
 	for _, d := range n.directors {
+		if n.knownOnly && !d.Agents.Has(a.address) {
+			continue
+		}
 		report := a.dispatcher.Report(n.now)
 		report.Interval = testReportInterval
 		d.Agents.RecordReport(n.now, a.address, report)
--- a/lib/flows/place.go
+++ b/lib/flows/place.go
@@ -15,12 +15,14 @@
 	slotsPerFlow = 0.05
 )
 
-// candidates returns the first eligible agents in the hash order of a new flow, without those in skip.
+// candidates returns the first agents in the hash order of a new flow that can be given new flows, without those in
+// skip.
 func (a *Agents) candidates(now time.Time, service NameHash, flow Flow, skip []Endpoint) []Endpoint {
 	var chosen []Endpoint
 	a.lastUsed[service] = now
+	mayPlace := a.placementFilter(now, service)
 	for _, agent := range a.ranked(service, flow) {
-		if !agent.eligible(now) || slices.Contains(skip, agent.address) {
+		if !mayPlace(agent) || slices.Contains(skip, agent.address) {
 			continue
 		}
 		chosen = append(chosen, agent.address)
@@ -31,6 +33,19 @@
 	return chosen
 }
 
+// placementFilter returns the condition on which an agent of a service is given new flows: it is eligible and on the list
+// of members, by which other balancers find its flows. An agent that has restarted and can't read the list is used while
+// the service has no listed one that may be alive, as after a power loss during an outage of the store.
+func (a *Agents) placementFilter(now time.Time, service NameHash) func(*agentState) bool {
+	needed := ListingUnknown
+	for _, agent := range a.byService[service] {
+		if agent.listing == ListingConfirmed && !a.Lost(now, agent.address) {
+			needed = ListingConfirmed
+		}
+	}
+	return func(agent *agentState) bool { return agent.listing == needed && agent.eligible(now) }
+}
+
 // sortByCost sorts candidates by utilisation, with a small preference for those in the given zone.
 func (a *Agents) sortByCost(candidates []Endpoint, zone NameHash) {
 	slices.SortStableFunc(candidates, func(x, y Endpoint) int {
@@ -38,11 +53,12 @@
 	})
 }
 
-// leastLoaded returns the eligible agent of a service with the lowest utilisation.
+// leastLoaded returns the agent with the lowest utilisation among those of a service that can be given new flows.
 func (a *Agents) leastLoaded(now time.Time, service NameHash) (Endpoint, bool) {
 	var best *agentState
+	mayPlace := a.placementFilter(now, service)
 	for _, agent := range a.byService[service] {
-		if agent.eligible(now) && (best == nil || agent.utilisation() < best.utilisation()) {
+		if mayPlace(agent) && (best == nil || agent.utilisation() < best.utilisation()) {
 			best = agent
 		}
 	}
