--- a/lib/setup/load.go
+++ b/lib/setup/load.go
@@ -110,6 +110,15 @@
 	return duration
 }
 
+// DurationFrom parses a duration that must not be shorter than a limit; an empty text means fallback.
+func (c *Checker) DurationFrom(key, text string, limit, fallback time.Duration) time.Duration {
+	duration := c.Duration(key, text, fallback)
+	if duration < limit {
+		c.Fail(key, "is shorter than "+limit.String(), "give one such as "+fallback.String())
+	}
+	return duration
+}
+
 // Required checks that a text is not blank.
 func (c *Checker) Required(key, text string) string {
 	if strings.TrimSpace(text) == "" {
