--- a/lib/flows/director.go
+++ b/lib/flows/director.go
@@ -271,6 +271,7 @@
 			LatencyTarget: route.LatencyTarget,
 			Next:          next,
 			Origin:        d.config.Self,
+			Repeatable:    route.Repeatable,
 			Service:       service,
 			Timeout:       route.Timeout,
 			Urgency:       route.Urgency,
