Log one line about all agents that a balancer meets, and what it could use with each reset

Change: agents met for the first time make one line `New agents.` a second; changes of the others pass up to 50 a second. Lines about resets and dropped packets say how many agents of the service were known, ready and silent, so that they explain a request that was turned away without the lines about agents.

--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -60,6 +60,7 @@
 	removed := n.director.Agents.ForgetSilent(now)
 	isReader := n.configReads.isReader()
 	n.mu.Unlock()
+	n.logNewAgents()
 	for _, agent := range removed {
 		n.config.Log.Info("A silent agent was removed.", logs.Fields{"agent": agent.String()})
 	}
--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -63,7 +63,8 @@
 	memberChecks chan struct{} // wakes runMembers to confirm the members
 	memberReads  *sharedRead[[]member.Member]
 	meter        *meter
-	mu           sync.Mutex // guards configReads, director, isolation, meter.notForwarded, peers, pulling and rawConfig
+	mu           sync.Mutex // guards configReads, director, isolation, meter.notForwarded, newAgents, peers, pulling and rawConfig
+	newAgents    newAgents
 	peers        *peerSet
 	pulling      bool   // a pull from another balancer is in progress
 	rawConfig    []byte // configuration as encoded in the store
--- a/balancer/tuple/observe.go
+++ b/balancer/tuple/observe.go
@@ -16,10 +16,41 @@
 	// notForwardedLogsPerSecond limits the log lines about packets that were not forwarded, and separately those about
 	// resets.
 	notForwardedLogsPerSecond = 50
+	// agentLogsPerSecond limits the log lines about changed agents.
+	agentLogsPerSecond = 50
 )
 
+// newAgents counts the agents that a balancer has met since the last summary. A balancer that starts meets all of them,
+// and a line for each would grow with the product of balancers and agents.
+type newAgents struct {
+	byState map[flows.State]int
+	flows   int // that these agents hold
+}
+
+func (a *newAgents) record(report flows.Report) {
+	if a.byState == nil {
+		a.byState = map[flows.State]int{}
+	}
+	a.byState[report.State]++
+	a.flows += report.Flows
+}
+
+// take returns the summary and starts a new one; it reports false when no agent was met.
+func (a *newAgents) take() (logs.Fields, bool) {
+	if len(a.byState) == 0 {
+		return nil, false
+	}
+	fields := logs.Fields{"flows": a.flows}
+	for state, count := range a.byState {
+		fields[state.String()] = count
+	}
+	*a = newAgents{}
+	return fields, true
+}
+
 // meter holds the packet counters of a balancer and the rate limiters of its packet logs.
 type meter struct {
+	agentLimiter     *logs.Limiter
 	dropLimiter      *logs.Limiter
 	forwarded        *metrics.Counter
 	notForwarded     map[flows.Reason]*metrics.Counter
@@ -30,6 +61,7 @@
 
 func newMeter(server *stats.Server) *meter {
 	return &meter{
+		agentLimiter:     logs.NewLimiter(agentLogsPerSecond),
 		dropLimiter:      logs.NewLimiter(notForwardedLogsPerSecond),
 		forwarded:        server.Counter("cyclamendock_balancer_packets_total"),
 		notForwarded:     map[flows.Reason]*metrics.Counter{},
@@ -78,6 +110,31 @@
 	})
 }
 
+// logAgentChange logs a change of an agent that this balancer had met before.
+func (n *Node) logAgentChange(now time.Time, agent flows.Endpoint, report flows.Report) {
+	suppressed, ok := n.meter.agentLimiter.Allow(now)
+	if !ok {
+		return
+	}
+	n.config.Log.Info("Agent changed.", logs.Fields{
+		"agent":      agent.String(),
+		"busy":       report.Busy,
+		"flows":      report.Flows,
+		"state":      report.State.String(),
+		"suppressed": suppressed,
+	})
+}
+
+// logNewAgents logs one line about all agents that this balancer has met since the last one.
+func (n *Node) logNewAgents() {
+	n.mu.Lock()
+	fields, ok := n.newAgents.take()
+	n.mu.Unlock()
+	if ok {
+		n.config.Log.Info("New agents.", fields)
+	}
+}
+
 // logNotForwarded counts and logs a packet that was not forwarded to an agent.
 func (n *Node) logNotForwarded(now time.Time, verdict *flows.Verdict) {
 	n.countNotForwarded(verdict.Reason)
@@ -89,12 +146,19 @@
 	if !ok {
 		return
 	}
+	n.mu.Lock()
+	version := n.director.Version()
+	availability := n.director.Availability(now, verdict.Flow)
+	n.mu.Unlock()
 	n.config.Log.Info(text, logs.Fields{
+		"agents":     availability.Known,
 		"caller":     verdict.Flow.Caller.String(),
-		"config":     n.version(),
+		"config":     version,
+		"ready":      availability.Ready,
 		"reason":     string(verdict.Reason),
 		"request":    verdict.RequestID,
 		"route":      verdict.Flow.Service.String(),
+		"silent":     availability.Silent,
 		"suppressed": suppressed,
 	})
 }
--- a/balancer/tuple/packets.go
+++ b/balancer/tuple/packets.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/lib/flows"
-	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/netio"
 )
 
@@ -124,18 +123,17 @@
 	}
 	n.mu.Lock()
 	returned := n.director.Agents.RecentlyForgotten(now, sender)
+	met := n.director.Agents.HasReported(sender)
 	changed := n.director.RecordReport(now, sender, report)
+	if changed && !met {
+		n.newAgents.record(report)
+	}
 	n.mu.Unlock()
 	if returned { // the agent may have been removed from the members while it was silent
 		n.socket.Send(flows.AppendJoin(nil), sender.AddrPort())
 	}
-	if changed {
-		n.config.Log.Info("Agent changed.", logs.Fields{
-			"agent": sender.String(),
-			"busy":  report.Busy,
-			"flows": report.Flows,
-			"state": report.State.String(),
-		})
+	if changed && met {
+		n.logAgentChange(now, sender, report)
 	}
 	return true
 }
--- a/lib/flows/director.go
+++ b/lib/flows/director.go
@@ -167,6 +167,15 @@
 	return d.searchOwner(now, route, p)
 }
 
+// Availability returns the availability of the service of a flow; it is zero when the flow has no route.
+func (d *Director) Availability(now time.Time, flow Flow) Availability {
+	route, ok := d.routes.ByAddress[flow.Service]
+	if !ok {
+		return Availability{}
+	}
+	return d.Agents.availability(now, route.ServiceFor(flow))
+}
+
 // lookupOwner returns the agent that holds a flow according to the hint cache, and the agent's service, which may be one
 // that the route had earlier. It reports false when there is no usable hint.
 func (d *Director) lookupOwner(now time.Time, route Route, flow Flow) (Endpoint, NameHash, bool) {
--- a/lib/flows/place.go
+++ b/lib/flows/place.go
@@ -46,6 +46,29 @@
 	return func(agent *agentState) bool { return agent.listing == needed && agent.eligible(now) }
 }
 
+// Availability tells how many agents of a service a balancer knows, and what it can use them for.
+type Availability struct {
+	Known  int
+	Ready  int // can be given new flows
+	Silent int // have an overdue report
+}
+
+// availability returns the availability of a service.
+func (a *Agents) availability(now time.Time, service NameHash) Availability {
+	mayPlace := a.placementFilter(now, service)
+	var result Availability
+	for _, agent := range a.byService[service] {
+		result.Known++
+		switch {
+		case mayPlace(agent):
+			result.Ready++
+		case agent.suspect(now):
+			result.Silent++
+		}
+	}
+	return result
+}
+
 // sortByCost sorts candidates by utilisation, with a small preference for those in the given zone.
 func (a *Agents) sortByCost(candidates []Endpoint, zone NameHash) {
 	slices.SortStableFunc(candidates, func(x, y Endpoint) int {
