Notice dead agents by hellos, and probe the backend server when an agent stops

A balancer begins to count an agent's silence with the first packet that it sends there, so that each one waits from then on; and each of 59 balancers has to lose a new flow to notice a dead agent, as it gives an agent one each four seconds.

--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -217,9 +217,10 @@
 }
 
 // shutDown stops the agent at once. If the backend server has ended for good, it first removes the agent from the
-// member list, with its snapshot.
+// member list, with its snapshot: balancers would wait for the agent's answer before they take any flow for ended.
 func (n *Node) shutDown() {
 	n.config.Log.Info("Stopping.", nil)
+	n.probeServerPort()
 	n.mu.Lock()
 	gone := n.server.State(time.Now()) == flows.StateGone
 	n.mu.Unlock()
--- a/lib/flows/agents.go
+++ b/lib/flows/agents.go
@@ -33,6 +33,7 @@
 	address       Endpoint
 	assigned      int           // new flows sent to it since its last report
 	firstReport   time.Time     // zero when it has never reported
+	helloPending  bool          // the pending report was requested by a hello, which is answered at once
 	helloInterval time.Duration // shortest time until the next hello
 	lastHello     time.Time
 	lastReport    time.Time // zero when it has never reported
@@ -40,7 +41,7 @@
 	meanBusy      float64   // moving average of the requests in progress
 	pendingSince  time.Time // when the pending report was first expected
 	report        Report    // last report
-	reportPending bool      // it was added or sent a packet, and has not reported since
+	reportPending bool      // it was added or sent a packet or a hello, and has not reported since
 }
 
 // Agents tracks the reports and the liveness of all agents for one balancer.
@@ -128,6 +129,7 @@
 	agent.meanBusy += (float64(report.Busy) - agent.meanBusy) * busyMeanWeight
 	a.lastReport = now
 	agent.assigned = 0
+	agent.helloPending = false
 	agent.lastReport = now
 	agent.helloInterval = minHelloInterval
 	if report.Listing != ListingUnknown { // a restarted agent that does not know yet may still have its entry
@@ -213,7 +215,7 @@
 	}
 }
 
-// DueHellos returns the agents to which a hello is due.
+// DueHellos returns the agents to which a hello is due, and expects reports of them.
 func (a *Agents) DueHellos(now time.Time) []Endpoint {
 	var due []Endpoint
 	for address, agent := range a.byAddress {
@@ -222,6 +224,11 @@
 		}
 		agent.lastHello = now
 		agent.helloInterval = min(agent.helloInterval*2, maxHelloInterval)
+		if !agent.reportPending {
+			agent.helloPending = true
+			agent.reportPending = true
+			agent.pendingSince = now
+		}
 		due = append(due, address)
 	}
 	slices.SortFunc(due, Endpoint.Compare)
@@ -380,7 +387,11 @@
 
 // suspect reports whether an agent has never reported, or its report is overdue.
 func (s *agentState) suspect(now time.Time) bool {
-	return s.lastReport.IsZero() || s.reportPending && now.Sub(s.pendingSince) > s.report.Interval+reportGrace
+	timeout := s.report.Interval + reportGrace
+	if s.helloPending {
+		timeout = reportGrace
+	}
+	return s.lastReport.IsZero() || s.reportPending && now.Sub(s.pendingSince) > timeout
 }
 
 // stale reports whether an agent's last report is too old to rely on.
