Search many agents along parallel chains

Cause: a search went along one chain of 16 agents after another, seven for the 109 agents of a service of the large deployment: 109 hops of 3.6 ms on average, 0.4 s until the end of a flow is proved, and the callers' targets are 0.5 s. Change: the first eight agents in hash order are asked in turn, as living flows are mostly there; all others then at once, in chains of eight. Returns that arrive after the owner is found are dropped. A packet that chains have lost goes to up to 64 agents at once (16 before). Verdict.Chains replaces Verdict.To.

--- a/balancer/tuple/observe.go
+++ b/balancer/tuple/observe.go
@@ -95,15 +95,15 @@
 	}
 	n.mu.Lock()
 	version := n.director.Version()
-	report, age := n.director.Agents.LastReport(now, verdict.To[0])
+	report, age := n.director.Agents.LastReport(now, verdict.Chains[0][0])
 	n.mu.Unlock()
 	n.config.Log.Info("Flow placed.", logs.Fields{
 		"age":        age.Round(time.Millisecond).String(),
-		"agent":      verdict.To[0].String(),
+		"agent":      verdict.Chains[0][0].String(),
 		"busy":       report.Busy,
 		"caller":     verdict.Flow.Caller.String(),
 		"config":     version,
-		"others":     len(verdict.Forward.Next),
+		"others":     len(verdict.Chains[0]) - 1,
 		"route":      verdict.Flow.Service.String(),
 		"slots":      report.Slots,
 		"suppressed": suppressed,
--- a/balancer/tuple/packets.go
+++ b/balancer/tuple/packets.go
@@ -13,9 +13,9 @@
 	switch verdict.Action {
 	case flows.ActForward:
 		verdict.Forward.Datagram = datagram
-		for _, agent := range verdict.To {
-			out.QueueForward(&verdict.Forward, flows.KindForward, agent)
-		}
+		verdict.Send(func(forward *flows.Forward, agent flows.Endpoint) {
+			out.QueueForward(forward, flows.KindForward, agent)
+		})
 		n.meter.forwarded.Inc()
 		if verdict.IsOpening {
 			n.logPlacement(now, verdict)
--- a/lib/flows/director.go
+++ b/lib/flows/director.go
@@ -35,7 +35,7 @@
 const (
 	// ActDrop drops the packet.
 	ActDrop Action = iota
-	// ActForward sends Verdict.Forward to each agent in Verdict.To.
+	// ActForward sends Verdict.Forward along each chain in Verdict.Chains.
 	ActForward
 	// ActRefreshMembers drops the packet and reads the list of members from the store, to be followed by
 	// Director.ResolvePendingResets.
@@ -47,13 +47,24 @@
 // Verdict is a director's decision about one packet.
 type Verdict struct {
 	Action    Action
+	Chains    []Chain // agents to send the message to
 	Flow      Flow
 	Forward   Forward // message to send
 	IsOpening bool    // the packet opens a new flow
 	Reason    Reason
-	RequestID string     // ID of the request in the packet; empty when it could not be read
-	Seq       uint32     // sequence number of the reset
-	To        []Endpoint // agents to send the message to
+	RequestID string // ID of the request in the packet; empty when it could not be read
+	Seq       uint32 // sequence number of the reset
+}
+
+// Chain is a list of agents that a message is sent along: each one that rejects its packet forwards it to the next.
+type Chain []Endpoint
+
+// Send calls send for each chain with the message for its first agent.
+func (v *Verdict) Send(send func(forward *Forward, to Endpoint)) {
+	for _, chain := range v.Chains {
+		v.Forward.Next = chain[1:]
+		send(&v.Forward, chain[0])
+	}
 }
 
 const (
@@ -162,7 +173,7 @@
 		return d.openFlow(now, route, p, datagram)
 	}
 	if owner, service, ok := d.lookupOwner(now, route, flow); ok {
-		return d.forwardVerdict(now, route, p, service, []Endpoint{owner}, nil)
+		return d.forwardVerdict(now, route, p, service, Chain{owner})
 	}
 	return d.searchOwner(now, route, p)
 }
@@ -205,12 +216,17 @@
 	if !ok {
 		return d.handleUnrouted(now, p)
 	}
-	if owner, ok := d.lookupHint(now, flow); ok && slices.Contains(f.RejectedBy, owner) {
+	owner, known := d.lookupHint(now, flow)
+	if known && slices.Contains(f.RejectedBy, owner) {
 		d.hints.Delete(flow)
+		known = false
 	}
 	if p.IsOpening() {
 		return d.retryOpening(now, route, p, f)
 	}
+	if known && !d.Agents.Lost(now, owner) {
+		return Verdict{Flow: flow, Reason: ReasonFannedOut} // another chain has found the flow
+	}
 	search := d.searchFor(now, flow)
 	for _, agent := range f.RejectedBy {
 		if !slices.Contains(search.rejectedBy, agent) && d.mayServe(agent, f.Service) {
@@ -267,18 +283,17 @@
 	return Verdict{Flow: p.CallerFlow(), Reason: ReasonNoRoute}
 }
 
-// forwardVerdict returns the verdict to forward a packet to the agents in to. An agent that does not hold or accept the
-// flow forwards the packet to those in next.
-func (d *Director) forwardVerdict(now time.Time, route Route, p Packet, service NameHash, to, next []Endpoint) Verdict {
-	for _, agent := range to {
-		d.Agents.ExpectReport(now, agent, p.IsOpening())
+// forwardVerdict returns the verdict to forward a packet along chains of agents at the same time.
+func (d *Director) forwardVerdict(now time.Time, route Route, p Packet, service NameHash, chains ...Chain) Verdict {
+	for _, chain := range chains {
+		d.Agents.ExpectReport(now, chain[0], p.IsOpening())
 	}
 	return Verdict{
 		Action: ActForward,
+		Chains: chains,
 		Flow:   p.CallerFlow(),
 		Forward: Forward{
 			LatencyTarget: route.LatencyTarget,
-			Next:          next,
 			Origin:        d.config.Self,
 			Repeatable:    route.Repeatable,
 			Service:       service,
@@ -286,7 +301,6 @@
 			Urgency:       route.Urgency,
 		},
 		IsOpening: p.IsOpening(),
-		To:        to,
 	}
 }
 
--- a/lib/flows/director_test.go
+++ b/lib/flows/director_test.go
@@ -122,9 +122,9 @@
 	n := newTestNetwork(1, 1, 7)
 	d := n.directors[n.balancers()[0]]
 	opening := Packet{Destination: testAddress, Flags: FlagSyn, Source: testFlow(1).Caller}
-	first := d.HandlePacket(n.now, opening, nil).To
-	g.Expect(d.HandlePacket(n.now.Add(200*time.Millisecond), opening, nil).To).To(gomega.Equal(first))
-	g.Expect(d.HandlePacket(n.now.Add(600*time.Millisecond), opening, nil).To).NotTo(gomega.Equal(first))
+	first := d.HandlePacket(n.now, opening, nil).Chains[0][0]
+	g.Expect(d.HandlePacket(n.now.Add(200*time.Millisecond), opening, nil).Chains[0][0]).To(gomega.Equal(first))
+	g.Expect(d.HandlePacket(n.now.Add(600*time.Millisecond), opening, nil).Chains[0][0]).NotTo(gomega.Equal(first))
 }
 
 func TestNewFlowsAvoidBusyAgents(t *testing.T) {
@@ -138,7 +138,7 @@
 	chosen := map[Endpoint]int{}
 	for i := range 7 {
 		opening := Packet{Destination: testAddress, Flags: FlagSyn, Source: testFlow(i).Caller}
-		chosen[d.HandlePacket(now, opening, nil).To[0]]++
+		chosen[d.HandlePacket(now, opening, nil).Chains[0][0]]++
 	}
 	g.Expect(chosen).To(gomega.HaveKeyWithValue(testEndpoint(2, 0), 7))
 }
@@ -194,11 +194,11 @@
 	d.Agents.Add(now, owner)
 	packet := Packet{Destination: testAddress, Flags: FlagAck, Source: testFlow(1).Caller}
 	forwarded := d.HandlePacket(now, packet, nil)
-	g.Expect(forwarded.To).To(gomega.Equal([]Endpoint{owner}))
+	g.Expect(forwarded.Chains).To(gomega.Equal([]Chain{{owner}}))
 	returned := forwarded.Forward
 	returned.RejectedBy = []Endpoint{owner}
 	g.Expect(d.HandleReturn(now, &returned, packet).Action).To(gomega.Equal(ActRefreshMembers))
 	d.RecordReport(now, owner, Report{Interval: fastReportInterval, Service: HashName(testService), Slots: 7, State: StateReady})
 	g.Expect(d.ResolvePendingResets(now, now)).To(gomega.BeEmpty())
-	g.Expect(d.HandlePacket(now, packet, nil).To).To(gomega.Equal([]Endpoint{owner}))
+	g.Expect(d.HandlePacket(now, packet, nil).Chains).To(gomega.Equal([]Chain{{owner}}))
 }
--- a/lib/flows/moves_test.go
+++ b/lib/flows/moves_test.go
@@ -106,7 +106,7 @@
 			test.report.Service, test.report.State = HashName(otherServices[0]), StateReady
 			d.RecordReport(now, other, test.report)
 			forwarded := d.HandlePacket(now, packet, nil)
-			g.Expect(forwarded.To).To(gomega.Equal([]Endpoint{own}))
+			g.Expect(forwarded.Chains).To(gomega.Equal([]Chain{{own}}))
 			returned := forwarded.Forward
 			returned.RejectedBy = []Endpoint{own}
 			next := d.HandleReturn(now, &returned, packet)
@@ -114,7 +114,7 @@
 				g.Expect(next.Action).To(gomega.Equal(ActRefreshMembers))
 				return
 			}
-			g.Expect(next.To).To(gomega.Equal([]Endpoint{other}))
+			g.Expect(next.Chains).To(gomega.Equal([]Chain{{other}}))
 		})
 	}
 }
--- a/lib/flows/network_test.go
+++ b/lib/flows/network_test.go
@@ -56,6 +56,7 @@
 // testPacket is a packet or message in transit between processes.
 type testPacket struct {
 	from, to Endpoint
+	hops     int // messages that led to this one, including itself
 	kind     MessageKind
 	forward  Forward
 	packet   Packet
@@ -65,6 +66,8 @@
 type testNetwork struct {
 	agents      []*testAgent
 	delivered   map[Flow]int // number of packets delivered to the backend server that holds the flow
+	hops        int          // messages that led to the one being handled
+	longestPath int          // largest number of messages in a row
 	directors   map[Endpoint]*Director
 	inTransit   []testPacket
 	knownOnly   bool    // agents report only to the balancers that know them
@@ -197,6 +200,7 @@
 
 func (n *testNetwork) sendVia(balancer Endpoint, flow Flow, flags Flags, length int) {
 	packet := Packet{Destination: flow.Service, Flags: flags, Length: length, Source: flow.Caller}
+	n.hops = 0
 	n.applyVerdict(balancer, n.directors[balancer].HandlePacket(n.now, packet, []byte{1}), packet)
 	n.deliverInTransit()
 }
@@ -204,9 +208,9 @@
 func (n *testNetwork) applyVerdict(balancer Endpoint, verdict Verdict, packet Packet) {
 	switch verdict.Action {
 	case ActForward:
-		for _, to := range verdict.To {
-			n.send(testPacket{forward: verdict.Forward, from: balancer, kind: KindForward, packet: packet, to: to})
-		}
+		verdict.Send(func(forward *Forward, to Endpoint) {
+			n.send(testPacket{forward: *forward, from: balancer, kind: KindForward, packet: packet, to: to})
+		})
 	case ActReset:
 		n.recordReset(verdict.Flow, verdict.Reason)
 	}
@@ -219,6 +223,8 @@
 }
 
 func (n *testNetwork) send(p testPacket) {
+	p.hops = n.hops + 1
+	n.longestPath = max(n.longestPath, p.hops)
 	if n.random.Float64() >= n.loss && !n.isUnreachable(p.from) && !n.isUnreachable(p.to) {
 		n.inTransit = append(n.inTransit, p)
 	}
@@ -228,6 +234,7 @@
 	for len(n.inTransit) > 0 {
 		p := n.inTransit[0]
 		n.inTransit = n.inTransit[1:]
+		n.hops = p.hops
 		if d := n.directors[p.to]; d != nil {
 			n.receiveAtBalancer(d, p)
 			continue
--- a/lib/flows/opening.go
+++ b/lib/flows/opening.go
@@ -87,7 +87,7 @@
 		return Verdict{Flow: flow, Reason: ReasonQueued}
 	}
 	if owner, ok := d.lookupHint(now, flow); ok && !d.Agents.Suspect(now, owner) && d.Agents.State(owner) == StateReady {
-		return d.forwardVerdict(now, route, p, route.ServiceFor(flow), []Endpoint{owner}, nil)
+		return d.forwardVerdict(now, route, p, route.ServiceFor(flow), Chain{owner})
 	}
 	verdict := d.place(now, route, p, nil)
 	if verdict.Action == ActForward {
@@ -108,7 +108,7 @@
 		return Verdict{Flow: flow, Reason: ReasonNoAgent}
 	}
 	d.hints.Put(now, flow, candidates[0])
-	return d.forwardVerdict(now, route, p, service, candidates[:1], candidates[1:])
+	return d.forwardVerdict(now, route, p, service, candidates)
 }
 
 // retryOpening decides about an opening that every candidate so far has rejected.
@@ -137,7 +137,7 @@
 		return resetVerdict(p, ReasonNoAgent)
 	}
 	d.hints.Put(now, flow, least)
-	verdict := d.forwardVerdict(now, route, p, service, []Endpoint{least}, nil)
+	verdict := d.forwardVerdict(now, route, p, service, Chain{least})
 	verdict.Forward.Final = true
 	return verdict
 }
--- a/lib/flows/search.go
+++ b/lib/flows/search.go
@@ -5,10 +5,18 @@
 	"time"
 )
 
+const (
+	// maxChainLength is the longest chain of agents in a search. A longer one delays the answer of its last agent by as
+	// many hops.
+	maxChainLength = 8
+	// maxFanOut is the largest number of agents that a packet is sent to at once when chains have lost it.
+	maxFanOut = 64
+)
+
 // flowSearch is the state of the search for the agent that holds a flow.
 type flowSearch struct {
 	fanOuts    int        // number of fan-outs, which rotate over the services
-	fannedOut  bool       // the last packet was sent to several agents at once
+	fannedOut  bool       // the last packet was sent along several chains at once
 	rejectedBy []Endpoint // agents that do not hold the flow
 	sentAt     time.Time  // when a packet was last sent; zero when none was
 }
@@ -39,13 +47,14 @@
 			continue
 		}
 		search.sentAt, search.fannedOut = now, true
-		return d.forwardVerdict(now, route, p, service, agents[:min(len(agents), maxAgentsPerMessage)], nil)
+		return d.forwardVerdict(now, route, p, service, chains(agents[:min(len(agents), maxFanOut)], 1)...)
 	}
 	return d.awaitMembers(now, p, search)
 }
 
-// tryNext sends a packet along the list of responsive agents that may hold its flow. Silent agents would probably lose
-// the packet, so they are tried, all at once, only when every responsive one has rejected it.
+// tryNext sends a packet to responsive agents that may hold its flow: first along one chain of those that are first in
+// hash order, as new flows are placed on them, then along as many chains as it takes to reach all others. Silent agents
+// would probably lose the packet, so they are tried only when every responsive one has rejected it.
 func (d *Director) tryNext(now time.Time, route Route, p Packet, search *flowSearch) Verdict {
 	flow := p.CallerFlow()
 	service := route.ServiceFor(flow)
@@ -53,9 +62,12 @@
 	for _, service := range d.searchOrder(flow.Service, service) {
 		responsive, silentAgents := d.holders(now, service, flow, search.rejectedBy)
 		if len(responsive) > 0 {
-			search.sentAt, search.fannedOut = now, false
-			list := responsive[:min(len(responsive), maxAgentsPerMessage)]
-			return d.forwardVerdict(now, route, p, service, list[:1], list[1:])
+			lists := chains(responsive, maxChainLength)
+			if len(search.rejectedBy) == 0 {
+				lists = lists[:1]
+			}
+			search.sentAt, search.fannedOut = now, len(lists) > 1
+			return d.forwardVerdict(now, route, p, service, lists...)
 		}
 		if len(silent) == 0 && len(silentAgents) > 0 {
 			silentService, silent = service, silentAgents
@@ -63,11 +75,20 @@
 	}
 	if len(silent) > 0 {
 		search.sentAt, search.fannedOut = now, true
-		return d.forwardVerdict(now, route, p, silentService, silent[:min(len(silent), maxAgentsPerMessage)], nil)
+		return d.forwardVerdict(now, route, p, silentService, chains(silent[:min(len(silent), maxFanOut)], 1)...)
 	}
 	return d.awaitMembers(now, p, search)
 }
 
+// chains splits agents into chains of at most the given length.
+func chains(agents []Endpoint, length int) []Chain {
+	var all []Chain
+	for chain := range slices.Chunk(agents, length) {
+		all = append(all, chain)
+	}
+	return all
+}
+
 // awaitMembers requests a fresh list of members, after which a flow that no known agent holds is reset.
 func (d *Director) awaitMembers(now time.Time, p Packet, search *flowSearch) Verdict {
 	flow := p.CallerFlow()
--- /dev/null
+++ b/lib/flows/search_test.go
@@ -0,0 +1,84 @@
+package flows
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// The time until the end of a flow is proved must not grow with the number of agents of its service.
+func TestSearchOfManyAgentsTakesFewHops(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const maxHops = 2 * (maxChainLength + 1) // two rounds of chains, each with its way back
+	for _, agents := range []int{7, 109, 400} {
+		n := newTestNetwork(1, 2, agents)
+		n.openFlow(testFlow(1))
+		for _, a := range n.agents {
+			n.startHost(a) // every backend server has restarted without its flows
+		}
+		n.reportAll()
+		d := n.directors[n.balancers()[0]]
+		d.hints.Delete(testFlow(1))
+		n.longestPath = 0
+		n.sendVia(n.balancers()[0], testFlow(1), FlagAck, 100)
+		g.Expect(d.HasPendingResets()).To(gomega.BeTrue(), "%d agents", agents)
+		g.Expect(n.longestPath).To(gomega.BeNumerically("<=", maxHops), "%d agents", agents)
+	}
+}
+
+// A balancer that takes over the flows of another finds most of them at the first agents in hash order.
+func TestSearchFindsLivingFlowsWithFewMessages(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const agents, flows = 109, 200
+	n := newTestNetwork(1, 2, agents)
+	balancers := n.balancers()
+	for i := range flows {
+		n.sendVia(balancers[0], testFlow(i), FlagSyn, 0)
+		n.sendVia(balancers[0], testFlow(i), FlagAck, 0)
+	}
+	n.now = n.now.Add(100 * time.Millisecond)
+	n.reportAll()
+	messages := 0
+	for i := range flows {
+		n.longestPath = 0
+		n.sendVia(balancers[1], testFlow(i), FlagAck, 100)
+		messages += n.longestPath
+	}
+	g.Expect(n.resets).To(gomega.BeEmpty())
+	g.Expect(messages).To(gomega.BeNumerically("<=", 6*flows))
+}
+
+// The owner is found by one chain while the packet still goes along others.
+func TestReturnsAfterTheOwnerIsFoundAreDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newTestNetwork(1, 1, 30)
+	d := n.directors[n.balancers()[0]]
+	packet := Packet{Destination: testAddress, Flags: FlagAck, Length: 100, Source: testFlow(1).Caller}
+	first := d.HandlePacket(n.now, packet, nil)
+	returned := first.Forward
+	returned.RejectedBy = first.Chains[0]
+	second := d.HandleReturn(n.now, &returned, packet)
+	g.Expect(len(second.Chains)).To(gomega.BeNumerically(">", 1))
+	d.RecordOwner(n.now, testFlow(1), second.Chains[0][0])
+	returned.RejectedBy = second.Chains[1]
+	late := d.HandleReturn(n.now, &returned, packet)
+	g.Expect(late.Action).To(gomega.Equal(ActDrop))
+	g.Expect(d.HandlePacket(n.now, packet, nil).Chains).To(gomega.Equal([]Chain{{second.Chains[0][0]}}))
+}
+
+func TestChainsHoldEachAgentOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var agents []Endpoint
+	for i := range 20 {
+		agents = append(agents, testEndpoint(2, i))
+	}
+	split := chains(agents, maxChainLength)
+	g.Expect(split).To(gomega.HaveLen(3))
+	var joined []Endpoint
+	for _, chain := range split {
+		g.Expect(len(chain)).To(gomega.BeNumerically("<=", maxChainLength))
+		joined = append(joined, chain...)
+	}
+	g.Expect(joined).To(gomega.Equal(agents))
+}
--- a/standin/model/hosts.go
+++ b/standin/model/hosts.go
@@ -66,12 +66,12 @@
 func (b *balancerHost) apply(verdict flows.Verdict, datagram []byte) {
 	switch verdict.Action {
 	case flows.ActForward:
-		for _, agent := range verdict.To {
-			forward := verdict.Forward
+		verdict.Send(func(message *flows.Forward, agent flows.Endpoint) {
+			forward := *message
 			forward.Datagram = datagram
 			host := b.simulation.agent(agent)
 			b.simulation.sendMessage(func() { host.receiveForward(forward) })
-		}
+		})
 	case flows.ActReset:
 		b.simulation.resetFlow(verdict.Flow)
 	case flows.ActRefreshMembers:
