Queue a new flow where the queue is shortest

Cause: while all three candidates are busy, the last one queued a new flow, whatever its queue; the balancers' reports are up to a second old when 59 of them share 109 agents, so queues differ by far. Change: the message along the chain names the agent whose queue is shortest, on its own figures at that moment; the last one sends the flow there. Test: TestNewFlowIsQueuedWhereTheQueueIsShortest.

--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -337,11 +337,19 @@
 	return state, true
 }
 
-// handleOverload forwards a new flow while untried agents remain. The last agent queues the flow if it can be served
-// before its timeout, and otherwise refuses it at once.
+// handleOverload forwards a new flow while untried agents remain. The last one sends it to the agent with the shortest
+// queue, which queues the flow if it can be served in time, and otherwise refuses it at once.
 func (d *Dispatcher) handleOverload(now time.Time, f *Forward, p Packet) AgentVerdict {
 	f.Overloaded = true
-	if len(f.Next) > 0 {
+	if latency := d.queuedLatency(f); !f.Least.IsSet() || latency < f.LeastLatency {
+		f.Least, f.LeastLatency = d.config.Self, latency
+	}
+	if len(f.Next) > 0 && !f.Assigned {
+		return d.forwardOrReturn(f, p)
+	}
+	if f.Least != d.config.Self && !f.Assigned {
+		f.Assigned = true
+		f.Next = []Endpoint{f.Least}
 		return d.forwardOrReturn(f, p)
 	}
 	if d.cannotServe(now, f) || !d.queue.add(newQueueEntry(now, f, p, maxOpeningWait)) {
@@ -351,16 +359,22 @@
 	return AgentVerdict{Action: AgentSendOwner, Flow: p.CallerFlow(), Reason: ReasonQueued, To: f.Origin}
 }
 
+// queuedLatency returns the time until a new flow that is queued now is expected to be answered.
+func (d *Dispatcher) queuedLatency(f *Forward) time.Duration {
+	projected := d.serverLoad()
+	projected.Busy += d.queue.Len()
+	return projected.expectedLatency(f.LatencyTarget)
+}
+
 // cannotServe reports whether a new flow that is queued now would miss its timeout, or its latency target while an
 // overload lasts.
 func (d *Dispatcher) cannotServe(now time.Time, f *Forward) bool {
-	projected := d.serverLoad()
-	if d.overload.lasting(now) {
-		projected.Busy += d.queue.countAfter(now.Add(-f.LatencyTarget))
-		return projected.expectedLatency(f.LatencyTarget) > f.LatencyTarget*queuedSharePercent/percent
+	if !d.overload.lasting(now) {
+		return d.queuedLatency(f) > f.Timeout
 	}
-	projected.Busy += d.queue.Len()
-	return projected.expectedLatency(f.LatencyTarget) > f.Timeout
+	projected := d.serverLoad()
+	projected.Busy += d.queue.countAfter(now.Add(-f.LatencyTarget))
+	return projected.expectedLatency(f.LatencyTarget) > f.LatencyTarget*queuedSharePercent/percent
 }
 
 // Waiting returns the number of queued new flows and requests.
--- a/lib/flows/message.go
+++ b/lib/flows/message.go
@@ -38,8 +38,11 @@
 // Forward is a caller's packet on its way to the agent that holds its flow or accepts it.
 type Forward struct {
 	Datagram      []byte
+	Assigned      bool          // the new flow is queued by this agent, as others have longer queues
 	Final         bool          // the balancer refuses the new flow when the packet is returned, instead of trying other agents
 	LatencyTarget time.Duration // target latency of the route
+	Least         Endpoint      // agent in RejectedBy with the shortest queue, which queues the new flow; zero when none is known
+	LeastLatency  time.Duration // time until that agent would be expected to answer
 	Next          []Endpoint    // agents to forward the packet to if it is rejected, in order
 	Origin        Endpoint      // balancer that forwarded the packet first
 	Overloaded    bool          // an agent in RejectedBy was too busy for the new flow
@@ -144,19 +147,22 @@
 	forwardOverloaded = 1
 	forwardFinal      = 2
 	forwardRepeatable = 4
+	forwardAssigned   = 8
 
 	reportWarming = 1
 )
 
 // Append appends the encoded message of the given kind, KindForward or KindReturn.
 func (f *Forward) Append(dst []byte, kind MessageKind) []byte {
-	flags := flagBit(f.Overloaded, forwardOverloaded) | flagBit(f.Final, forwardFinal) | flagBit(f.Repeatable, forwardRepeatable)
+	flags := flagBit(f.Overloaded, forwardOverloaded) | flagBit(f.Final, forwardFinal) | flagBit(f.Repeatable, forwardRepeatable) | flagBit(f.Assigned, forwardAssigned)
 	dst = append(dst, byte(kind), flags)
 	dst = append(dst, byte(int8(max(-128, min(f.Urgency, 127)))))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(f.Service))
 	dst = appendEndpoint(dst, f.Origin)
 	dst = binary.BigEndian.AppendUint16(dst, millisUint16(f.LatencyTarget))
 	dst = binary.BigEndian.AppendUint16(dst, millisUint16(f.Timeout))
+	dst = appendEndpoint(dst, f.Least)
+	dst = binary.BigEndian.AppendUint16(dst, millisUint16(f.LeastLatency))
 	dst = appendList(dst, f.RejectedBy)
 	dst = appendList(dst, f.Next)
 	return append(dst, f.Datagram...)
@@ -171,11 +177,14 @@
 	f.Overloaded = flags&forwardOverloaded != 0
 	f.Final = flags&forwardFinal != 0
 	f.Repeatable = flags&forwardRepeatable != 0
+	f.Assigned = flags&forwardAssigned != 0
 	f.Urgency = int(int8(r.byte()))
 	f.Service = NameHash(r.uint64())
 	f.Origin = r.endpoint()
 	f.LatencyTarget = time.Duration(r.uint16()) * millisecond
 	f.Timeout = time.Duration(r.uint16()) * millisecond
+	f.Least = r.endpoint()
+	f.LeastLatency = time.Duration(r.uint16()) * millisecond
 	f.RejectedBy = r.list()
 	f.Next = r.list()
 	f.Datagram = r.rest
--- a/lib/flows/message_test.go
+++ b/lib/flows/message_test.go
@@ -24,13 +24,17 @@
 func TestForwardRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sent := Forward{
+			Assigned:      rapid.Bool().Draw(t, "assigned"),
 			LatencyTarget: time.Duration(rapid.IntRange(0, 65535).Draw(t, "latency target")) * time.Millisecond,
+			Least:         drawEndpoint(t),
+			LeastLatency:  time.Duration(rapid.IntRange(0, 65535).Draw(t, "least latency")) * time.Millisecond,
 			Datagram:      rapid.SliceOfN(rapid.Byte(), 1, 40).Draw(t, "datagram"),
 			Final:         rapid.Bool().Draw(t, "final"),
 			Next:          drawList(t),
 			Origin:        drawEndpoint(t),
 			Overloaded:    rapid.Bool().Draw(t, "overloaded"),
 			RejectedBy:    drawList(t),
+			Repeatable:    rapid.Bool().Draw(t, "repeatable"),
 			Service:       NameHash(rapid.Uint64().Draw(t, "service")),
 			Timeout:       time.Duration(rapid.IntRange(0, 65535).Draw(t, "timeout")) * time.Millisecond,
 			Urgency:       rapid.IntRange(-128, 127).Draw(t, "urgency"),
--- a/lib/flows/queueing_test.go
+++ b/lib/flows/queueing_test.go
@@ -1,6 +1,7 @@
 package flows
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -207,3 +208,42 @@
 	g.Expect(ended).To(gomega.HaveLen(1))
 	g.Expect(ended[0].Ending).To(gomega.Equal(EndingLost))
 }
+
+// Several agents are too busy for a new flow, each with another queue.
+func TestNewFlowIsQueuedWhereTheQueueIsShortest(t *testing.T) {
+	for name, queued := range map[string][]int{"first": {5, 20, 40}, "second": {40, 5, 20}, "last": {40, 20, 5}} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			now := time.Unix(100, 0)
+			var sims []*overloadSim
+			var chain []Endpoint
+			shortest := 0
+			for i, count := range queued {
+				o := newOverloadSim(now, 7)
+				o.dispatcher.config.Self = testEndpoint(2, i)
+				for _, flow := range o.openFlows(now, 30+count) {
+					o.sendRequest(now, flow)
+				}
+				if count < queued[shortest] {
+					shortest = i
+				}
+				sims, chain = append(sims, o), append(chain, testEndpoint(2, i))
+			}
+			flow := testFlow(500)
+			forward := sims[0].forward(flow)
+			forward.Next = chain[1:]
+			at, hops := 0, 0
+			verdict := sims[at].dispatcher.HandleForward(now, &forward, sims[at].packet(flow, FlagSyn, 0))
+			for verdict.Action == AgentForwardOrReturn {
+				g.Expect(verdict.Kind).To(gomega.Equal(KindForward))
+				hops++
+				g.Expect(hops).To(gomega.BeNumerically("<=", len(queued)))
+				at = slices.Index(chain, verdict.To)
+				forward = verdict.Forward
+				verdict = sims[at].dispatcher.HandleForward(now, &forward, sims[at].packet(flow, FlagSyn, 0))
+			}
+			g.Expect(verdict.Action).To(gomega.Equal(AgentSendOwner))
+			g.Expect(at).To(gomega.Equal(shortest))
+		})
+	}
+}
