Keep the hash of the known agents up to date instead of hashing all for each digest

Cause: a balancer sends and answers several digests a second, and sorted and hashed the addresses of all agents for each: 2,800 at the target. Change: the set of agents keeps a hash that does not depend on their order. Test: TestHashOfAgentsDependsOnlyOnTheirAddresses.

--- a/balancer/tuple/peers.go
+++ b/balancer/tuple/peers.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cyclamendock/cyclamendock/lib/flows"
 )
 
@@ -80,9 +78,10 @@
 
 // digest returns a summary of this balancer's configuration and agents; n.mu must be held.
 func (n *Node) digest(isReply bool) flows.Digest {
-	hash := xxhash.New()
-	for _, agent := range n.director.Agents.Addresses() {
-		_, _ = hash.WriteString(agent.String())
+	return flows.Digest{
+		AgentsHeard: n.isolation.agentsHeard(time.Now()),
+		IsReply:     isReply,
+		MembersHash: n.director.Agents.Hash(),
+		Version:     n.director.Version(),
 	}
-	return flows.Digest{AgentsHeard: n.isolation.agentsHeard(time.Now()), IsReply: isReply, MembersHash: hash.Sum64(), Version: n.director.Version()}
 }
--- a/lib/flows/agents.go
+++ b/lib/flows/agents.go
@@ -49,6 +49,7 @@
 	byAddress   map[Endpoint]*agentState
 	byService   map[NameHash][]*agentState  // only agents that have reported
 	forgottenAt *Cache[Endpoint, time.Time] // time at which each address was forgotten
+	hash        uint64                      // of all addresses, in any order
 	lastReport  time.Time                   // time of the last report of any agent
 	lastUsed    map[NameHash]time.Time      // time of the last packet for each service
 	lostAfter   time.Duration
@@ -71,6 +72,7 @@
 	if a.byAddress[address] != nil || a.forgottenAt.Has(now, address) {
 		return false
 	}
+	a.hash ^= address.hash()
 	a.byAddress[address] = &agentState{
 		address:       address,
 		helloInterval: minHelloInterval,
@@ -100,6 +102,7 @@
 	if agent == nil {
 		return
 	}
+	a.hash ^= address.hash()
 	delete(a.byAddress, address)
 	a.removeFromService(agent)
 }
@@ -324,6 +327,9 @@
 	return all
 }
 
+// Hash returns a hash of the addresses of all agents, which is the same in every process.
+func (a *Agents) Hash() uint64 { return a.hash }
+
 // ReportedCount returns the number of agents that have ever reported.
 func (a *Agents) ReportedCount() int {
 	count := 0
--- a/lib/flows/agents_test.go
+++ b/lib/flows/agents_test.go
@@ -185,3 +185,20 @@
 	g.Expect(agents.ForgetSilent(now)).To(gomega.BeEmpty())
 	g.Expect(agents.Has(asked)).To(gomega.BeTrue())
 }
+
+func TestHashOfAgentsDependsOnlyOnTheirAddresses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	x, y := NewAgents(testLostAfter), NewAgents(testLostAfter)
+	for i := range 5 {
+		x.Add(now, testEndpoint(2, i))
+		y.Add(now, testEndpoint(2, 4-i))
+		y.Add(now, testEndpoint(2, 4-i))
+	}
+	g.Expect(x.Hash()).To(gomega.Equal(y.Hash()))
+	x.Remove(testEndpoint(2, 1))
+	x.Remove(testEndpoint(2, 1))
+	g.Expect(x.Hash()).NotTo(gomega.Equal(y.Hash()))
+	y.RecordReport(now, testEndpoint(2, 1), Report{State: StateLeft})
+	g.Expect(x.Hash()).To(gomega.Equal(y.Hash()))
+}
--- a/lib/flows/flow.go
+++ b/lib/flows/flow.go
@@ -41,6 +41,12 @@
 	return uint64(binary.BigEndian.Uint32(e.IP[:]))<<16 | uint64(e.Port)
 }
 
+// hash returns a hash that is the same in every process.
+func (e Endpoint) hash() uint64 {
+	var b [endpointSize]byte
+	return xxhash.Sum64(appendEndpoint(b[:0], e))
+}
+
 // Flow identifies one connection of a caller to a service address.
 type Flow struct {
 	Caller  Endpoint
