Log which agents a search waits for

Cause: for seconds after a power loss packets wait as `fannedOut` for one silent agent, and no line says for which one. Change: the line has the number of agents that may hold the flow and have not answered, and one of them.

--- a/balancer/tuple/observe.go
+++ b/balancer/tuple/observe.go
@@ -150,8 +150,14 @@
 	version := n.director.Version()
 	availability := n.director.Availability(now, verdict.Flow)
 	n.mu.Unlock()
+	awaited := ""
+	if len(verdict.Awaited) > 0 {
+		awaited = verdict.Awaited[0].String()
+	}
 	n.config.Log.Info(text, logs.Fields{
 		"agents":     availability.Known,
+		"awaited":    len(verdict.Awaited),
+		"awaitedOne": awaited,
 		"caller":     verdict.Flow.Caller.String(),
 		"config":     version,
 		"ready":      availability.Ready,
--- a/lib/flows/director.go
+++ b/lib/flows/director.go
@@ -47,6 +47,7 @@
 // Verdict is a director's decision about one packet.
 type Verdict struct {
 	Action    Action
+	Awaited   []Endpoint // agents that may hold the flow and have not rejected the packet
 	Chains    []Chain // agents to send the message to
 	Flow      Flow
 	Forward   Forward // message to send
@@ -233,8 +234,10 @@
 			search.rejectedBy = append(search.rejectedBy, agent)
 		}
 	}
-	if search.fannedOut && now.Sub(search.sentAt) < searchTimeout && d.mayBeHeld(now, flow, search.rejectedBy) {
-		return Verdict{Flow: flow, Reason: ReasonFannedOut}
+	if search.fannedOut && now.Sub(search.sentAt) < searchTimeout {
+		if awaited := d.possibleOwners(now, flow, search.rejectedBy); len(awaited) > 0 {
+			return Verdict{Awaited: awaited, Flow: flow, Reason: ReasonFannedOut, RequestID: p.RequestID}
+		}
 	}
 	return d.tryNext(now, route, p, search)
 }
--- a/lib/flows/search.go
+++ b/lib/flows/search.go
@@ -125,7 +125,7 @@
 		if !ok {
 			continue
 		}
-		if d.mayBeHeld(now, flow, search.rejectedBy) {
+		if _, routed := d.routes.ByAddress[flow.Service]; !routed || len(d.possibleOwners(now, flow, search.rejectedBy)) > 0 {
 			continue
 		}
 		verdicts = append(verdicts, Verdict{Action: ActReset, Flow: flow, Reason: ReasonOwnerEnded, RequestID: pending.requestID, Seq: pending.seq})
@@ -134,19 +134,19 @@
 	return verdicts
 }
 
-// mayBeHeld reports whether an agent other than those in rejectedBy may hold a flow.
-func (d *Director) mayBeHeld(now time.Time, flow Flow, rejectedBy []Endpoint) bool {
-	route, ok := d.routes.ByAddress[flow.Service]
-	if !ok {
-		return true
-	}
+// possibleOwners returns the agents other than those in rejectedBy that may hold a flow whose address has a route.
+func (d *Director) possibleOwners(now time.Time, flow Flow, rejectedBy []Endpoint) []Endpoint {
+	var owners []Endpoint
+	route := d.routes.ByAddress[flow.Service]
 	for _, service := range d.searchOrder(flow.Service, route.ServiceFor(flow)) {
 		responsive, silent := d.holders(now, service, flow, rejectedBy)
-		if len(responsive)+len(silent) > 0 {
-			return true
+		for _, agent := range append(responsive, silent...) {
+			if !slices.Contains(owners, agent) {
+				owners = append(owners, agent)
+			}
 		}
 	}
-	return false
+	return owners
 }
 
 // holders returns the agents of a service, except those in rejectedBy, that may hold a flow: the responsive ones and the
