Wait for no silent agent that has said that its backend server has ended

Change: an agent whose backend server has ended knows that it holds no flows, and says so in its report; a silent agent that has said so can hold none. Test: TestNoFlowWaitsForSilentAgentWithoutBackendServer.

--- a/lib/flows/addresses.go
+++ b/lib/flows/addresses.go
@@ -38,6 +38,12 @@
 	}
 }
 
+// clear records that the backend server has ended, and with it all its flows.
+func (h *heldAddresses) clear() {
+	clear(h.lastSeen)
+	h.knownFrom = time.Time{}
+}
+
 // list returns the addresses in order, or false while flows of before the agent's start may be unknown, or when there are
 // too many addresses for a message.
 func (h *heldAddresses) list(now time.Time) ([]Endpoint, bool) {
--- a/lib/flows/director.go
+++ b/lib/flows/director.go
@@ -48,7 +48,7 @@
 type Verdict struct {
 	Action    Action
 	Awaited   []Endpoint // agents that may hold the flow and have not rejected the packet
-	Chains    []Chain // agents to send the message to
+	Chains    []Chain    // agents to send the message to
 	Flow      Flow
 	Forward   Forward // message to send
 	IsOpening bool    // the packet opens a new flow
--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -200,6 +200,7 @@
 	for _, verdict := range verdicts {
 		d.flows.Delete(verdict.Flow)
 	}
+	d.held.clear()
 	return verdicts
 }
 
--- a/lib/flows/hello_test.go
+++ b/lib/flows/hello_test.go
@@ -60,3 +60,30 @@
 	g.Expect(a.DueHellos(now)).To(gomega.HaveLen(1), "repeated before the agent is suspect")
 	g.Expect(a.Suspect(now, testEndpoint(2, 0))).To(gomega.BeFalse())
 }
+
+// An agent finds its backend server's port closed after a power loss, says so, and its host is then taken away.
+func TestNoFlowWaitsForSilentAgentWithoutBackendServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newTestNetwork(1, 1, 3)
+	a := n.agents[0]
+	n.restartAgent(a)
+	g.Expect(a.server.RecordRefused(n.now.Add(time.Hour))).To(gomega.BeTrue())
+	g.Expect(a.dispatcher.ResetServerFlows(n.now)).To(gomega.BeEmpty())
+	report := a.dispatcher.Report(n.now)
+	g.Expect(report.holdsNone()).To(gomega.BeTrue())
+	d := n.directors[n.balancers()[0]]
+	d.RecordReport(n.now, a.address, report)
+	a.running = false
+	for elapsed := time.Duration(0); elapsed < 3*time.Second; elapsed += testReportInterval {
+		n.now = n.now.Add(testReportInterval)
+		d.Agents.DueHellos(n.now)
+		for _, other := range n.agents[1:] {
+			n.announce(other)
+			d.RecordReport(n.now, other.address, other.dispatcher.Report(n.now))
+		}
+	}
+	g.Expect(d.Agents.Suspect(n.now, a.address)).To(gomega.BeTrue())
+	n.sendVia(n.balancers()[0], testFlow(1), FlagAck, 100)
+	g.Expect(d.HasPendingResets()).To(gomega.BeTrue(), "the two living agents have said no")
+	g.Expect(d.ResolvePendingResets(n.now, n.now)).To(gomega.HaveLen(1))
+}
--- a/lib/flows/message.go
+++ b/lib/flows/message.go
@@ -212,6 +212,11 @@
 	return !p.AddressesKnown || slices.Contains(p.Addresses, address)
 }
 
+// holdsNone reports whether the backend server has ended and holds no flows, and gets none before another report.
+func (p Report) holdsNone() bool {
+	return p.State == StateGone && p.AddressesKnown && len(p.Addresses) == 0
+}
+
 // Append appends the encoded message.
 func (p Report) Append(dst []byte) []byte {
 	dst = append(dst, byte(KindReport), byte(p.State), flagBit(p.Warming, reportWarming), byte(p.Listing))
--- a/lib/flows/place.go
+++ b/lib/flows/place.go
@@ -99,7 +99,9 @@
 		switch {
 		case slices.Contains(rejectedBy, agent.address) || a.Lost(now, agent.address):
 		case agent.suspect(now) || agent.stale(now):
-			silent = append(silent, agent.address)
+			if !agent.report.holdsNone() {
+				silent = append(silent, agent.address)
+			}
 		default:
 			responsive = append(responsive, agent.address)
 		}
