--- a/balancer/tuple/configreads.go
+++ b/balancer/tuple/configreads.go
@@ -9,7 +9,7 @@
 
 const (
 	// configCheckShare is the share of the time allowed for applying a change after which the configuration is read again.
-	// With maxTakeover the rest suffices for a notice of that read.
+	// With takeoverShare, the rest suffices for a read and its notice.
 	configCheckShare = 0.6
 	// takeoverShare is the share of that time within which another balancer takes over when the reader has failed.
 	takeoverShare = 0.25
@@ -64,6 +64,13 @@
 	return now.Sub(r.lastRead) > wait
 }
 
+// forgetReader records that a balancer does not answer, so that nobody waits for it until the next notice.
+func (r *configReads) forgetReader(reader netip.AddrPort) {
+	if r.reader == reader {
+		r.reader = netip.AddrPort{}
+	}
+}
+
 // isReader reports whether this balancer was the last one to read the configuration.
 func (r *configReads) isReader() bool { return r.reader == r.self }
 
--- a/balancer/tuple/configreads_test.go
+++ b/balancer/tuple/configreads_test.go
@@ -190,3 +190,17 @@
 		g.Expect(takeovers).To(gomega.BeNumerically("<", 3*rounds), "%d balancers", count)
 	}
 }
+
+func TestReaderThatDoesNotAnswerIsForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	self, other := netip.MustParseAddrPort("10.0.0.1:7000"), netip.MustParseAddrPort("10.0.0.2:7000")
+	reads := newConfigReads(self, maxConfigLag)
+	reads.recordNotice(time.Unix(0, 0), other)
+	reads.forgetReader(self)
+	g.Expect(reads.reader).To(gomega.Equal(other))
+	reads.forgetReader(other)
+	g.Expect(reads.reader.IsValid()).To(gomega.BeFalse())
+	g.Expect(reads.isReader()).To(gomega.BeFalse())
+	reads.recordNotice(time.Unix(1, 0), other)
+	g.Expect(reads.reader).To(gomega.Equal(other))
+}
--- a/balancer/tuple/members.go
+++ b/balancer/tuple/members.go
@@ -59,6 +59,9 @@
 		if err == nil {
 			return members, nil
 		}
+		n.mu.Lock()
+		n.configReads.forgetReader(reader)
+		n.mu.Unlock()
 		n.config.Log.Warn("Another balancer can't read the members.", logs.Fields{"balancer": reader.String(), "error": err.Error()})
 	}
 	return n.memberReads.get(n.ctx)
--- a/lib/flows/listing_test.go
+++ b/lib/flows/listing_test.go
@@ -74,7 +74,7 @@
 }
 
 // meet makes an agent report to some of the balancers.
-func (n *listedNetwork) meet(t *rapid.T, a *testAgent) {
+func (n *listedNetwork) meet(a *testAgent) {
 	listing := ListingUnknown
 	if n.listed[a.address] {
 		listing = ListingConfirmed
@@ -140,7 +140,7 @@
 			n.cutOff[n.agents[len(n.agents)-1].address] = !powerLost && rapid.Bool().Draw(t, "cutOff")
 			n.resolve()
 			for _, a := range n.agents {
-				n.meet(t, a)
+				n.meet(a)
 			}
 			for range 5 {
 				n.openFlow(testFlow(opened))
