--- a/lib/flows/load.go
+++ b/lib/flows/load.go
@@ -11,7 +11,7 @@
 	queuedSharePercent = 70
 	// targetSharePercent is the share of the latency target that queueing and service may use; the rest is for the
 	// handshake and variance.
-	targetSharePercent = 30
+	targetSharePercent = 50
 	// unknownServiceTimeDivisor divides the latency target to estimate a service time that has not been measured.
 	unknownServiceTimeDivisor = 4
 )
