--- a/lib/flows/search.go
+++ b/lib/flows/search.go
@@ -29,7 +29,7 @@
 }
 
 // searchOwner sends a packet to agents that may hold its flow. When an earlier packet got no result in time, an agent
-// on its list has probably lost it, and this one is sent to all agents of a service at once.
+// on its list has probably lost it, and this one is sent to the agents of a service, up to maxFanOut, at once.
 func (d *Director) searchOwner(now time.Time, route Route, p Packet) Verdict {
 	search := d.searchFor(now, p.CallerFlow())
 	timedOut := !search.sentAt.IsZero() && now.Sub(search.sentAt) > searchTimeout
