Find out at each start whether a backend server runs, also while the store is away

Change: each restarted agent probes its backend server's port at once. Test: TestAgentSaysThatItsBackendServerHasEndedWhileStoreIsSilent fails before (unknown instead of gone).

--- a/agent/tuple/members.go
+++ b/agent/tuple/members.go
@@ -74,6 +74,7 @@
 		n.join(true)
 		return
 	}
+	n.requestProbe()
 	ctx, cancel := context.WithTimeout(n.ctx, startListTimeout)
 	members, err := n.directory.List(ctx)
 	cancel()
@@ -84,7 +85,6 @@
 	case n.directory.ContainsSelf(members):
 		n.addSubscribers(n.config.Seeds)
 		n.finishJoin(members)
-		n.requestProbe()
 	default:
 		n.config.Log.Info("Waiting for a backend server before joining.", logs.Fields{"members": len(members)})
 		n.mu.Lock()
--- a/standin/tuple/leave_test.go
+++ b/standin/tuple/leave_test.go
@@ -17,6 +17,9 @@
 // the agent's own message.
 const shortWait = 100 * time.Millisecond
 
+// maxHelloWait is longer than the longest interval between two hellos of a balancer to a silent agent.
+const maxHelloWait = 2500 * time.Millisecond
+
 // agentStates returns the state of agent i at each balancer, as printed by the operators' status command.
 func agentStates(g *gomega.WithT, c *Cluster, i int) []string {
 	output, err := exec.Command(c.config.ProgramPath, "status", netip.AddrPortFrom(c.host(0, 0), storePort).String()).CombinedOutput()
@@ -120,3 +123,23 @@
 	g.Eventually(func() []string { return agentStates(g, c, 0) }, shortWait, shortWait/10).Should(gomega.BeEmpty())
 	openFlows(g, c, "after", 20)
 }
+
+// A host comes back while the store is away, without its backend server, and is lost again.
+func TestAgentSaysThatItsBackendServerHasEndedWhileStoreIsSilent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := startTestCluster(t, 93)
+	openFlows(g, c, "open", 20) // the balancers ask the agents of a service in use for reports
+	kill := func() {
+		agent := c.Process("agent-0")
+		agent.Signal(syscall.SIGKILL)
+		g.Expect(agent.WaitExit(requestTimeout)).To(gomega.BeTrue())
+	}
+	c.Backend(0).Crash()
+	kill()
+	c.Store.SetFault(StoreFault{Silent: true})
+	g.Expect(c.Restart("agent-0")).To(gomega.Succeed())
+	time.Sleep(maxHelloWait)
+	kill()
+	c.Store.SetFault(StoreFault{})
+	g.Expect(agentStates(g, c, 0)).To(gomega.Equal([]string{"gone", "gone", "gone"}))
+}
