--- a/agent/tuple/snapshots.go
+++ b/agent/tuple/snapshots.go
@@ -16,7 +16,7 @@
 	minSnapshotInterval = 2 * time.Second
 	// tolerableIntervals is the number of such intervals for which a snapshot may lack flows whose callers repeat requests
 	// that fail: they lose time, not work.
-	tolerableIntervals = 5
+	tolerableIntervals = 2
 	// snapshotWriteShare is the fraction of the store's writes that the snapshots of all agents may use.
 	snapshotWriteShare = 0.25
 )
