Let each failed call to the store delay proofs

Cause: no list of members counts within 3 s of a time at which the store could not be read, but only failed reads of that list and missed checks of the configuration were recorded: a balancer whose join had just failed took the first list for complete. Change: each failed call is recorded. Found by reading. Test: TestEachFailedCallToTheStoreDelaysProofs.

--- a/balancer/tuple/configreads_test.go
+++ b/balancer/tuple/configreads_test.go
@@ -1,6 +1,7 @@
 package tuple
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -164,7 +165,7 @@
 	now = now.Add(joinTimeout)
 	g.Expect(reads.untilSettled(now)).To(gomega.BeZero())
 	reads.recordFailure(now)
-	g.Expect(reads.untilSettled(now)).To(gomega.Equal(joinTimeout), "the members could not be read")
+	g.Expect(reads.untilSettled(now)).To(gomega.Equal(joinTimeout), "a call to the store has failed")
 }
 
 func TestFewBalancersTakeOverAtOnce(t *testing.T) {
@@ -204,3 +205,12 @@
 	reads.recordNotice(time.Unix(1, 0), other)
 	g.Expect(reads.reader).To(gomega.Equal(other))
 }
+
+func TestEachFailedCallToTheStoreDelaysProofs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, output := newTestNode(t)
+	g.Expect(n.configReads.untilSettled(time.Now())).To(gomega.BeZero())
+	n.handleStoreError("This balancer can't join.", errors.New("no answer"))
+	g.Expect(n.configReads.untilSettled(time.Now())).To(gomega.BeNumerically(">", joinTimeout/2))
+	g.Expect(output.String()).To(gomega.ContainSubstring("This balancer can't join."))
+}
--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -73,11 +73,11 @@
 func (n *Node) runRemove(agents []flows.Endpoint) {
 	for _, agent := range agents {
 		if err := n.directory.Remove(n.ctx, agent.AddrPort()); err != nil {
-			n.logStoreError("An agent can't be removed from the members.", err)
+			n.handleStoreError("An agent can't be removed from the members.", err)
 			continue
 		}
 		if err := snap.NewArchive(n.config.Store, agent.AddrPort()).Remove(n.ctx); err != nil {
-			n.logStoreError("The snapshot of a removed agent can't be removed.", err)
+			n.handleStoreError("The snapshot of a removed agent can't be removed.", err)
 		}
 	}
 }
@@ -114,7 +114,7 @@
 			pause = netio.MinRetryPause
 			n.recordConfigRead()
 		default:
-			n.logStoreError("The configuration can't be watched.", err)
+			n.handleStoreError("The configuration can't be watched.", err)
 			netio.Sleep(n.ctx, netio.Jitter(pause))
 			pause = min(2*pause, netio.MaxRetryPause)
 		}
@@ -155,7 +155,7 @@
 	requestedAt := time.Now()
 	object, err := n.config.Store.Get(n.ctx, n.config.ConfigKey)
 	if err != nil {
-		n.logStoreError("The configuration can't be read.", err)
+		n.handleStoreError("The configuration can't be read.", err)
 		netio.Sleep(n.ctx, netio.Jitter(netio.MaxRetryPause))
 		return
 	}
@@ -187,8 +187,13 @@
 	n.sendDigests(n.nextDigestPeers(), false)
 }
 
-func (n *Node) logStoreError(text string, err error) {
-	if n.ctx.Err() == nil {
-		n.config.Log.Warn(text, logs.Fields{"error": err.Error()})
+// handleStoreError logs that the store could not be used, and records when.
+func (n *Node) handleStoreError(text string, err error) {
+	if n.ctx.Err() != nil {
+		return
 	}
+	n.mu.Lock()
+	n.configReads.recordFailure(time.Now())
+	n.mu.Unlock()
+	n.config.Log.Warn(text, logs.Fields{"error": err.Error()})
 }
--- a/balancer/tuple/members.go
+++ b/balancer/tuple/members.go
@@ -111,7 +111,7 @@
 		n.config.Log.Info("Joined.", logs.Fields{"members": len(members)})
 		n.requestDigests(sample(n.allPeers()))
 		return nil
-	}, func(err error) { n.logStoreError("This balancer can't join.", err) })
+	}, func(err error) { n.handleStoreError("This balancer can't join.", err) })
 }
 
 // resetEndedFlows resets the flows that no member can hold. The list of members must be read from the store after the
@@ -121,10 +121,7 @@
 	requestedAt := time.Now()
 	members, err := n.readMembers()
 	if err != nil {
-		n.mu.Lock()
-		n.configReads.recordFailure(time.Now())
-		n.mu.Unlock()
-		n.logStoreError("The members can't be read.", err)
+		n.handleStoreError("The members can't be read.", err)
 		netio.Sleep(n.ctx, netio.MinRetryPause)
 		n.requestMemberCheck()
 		return
