Let the test of shared reads wait for its requests instead of a fixed time

Cause: with 430 requests started within 20 ms on a busy machine, later ones would begin further reads and break the bound of four, which is the same as before. Change: a read takes until all requests have started.

--- a/balancer/tuple/sharedread_test.go
+++ b/balancer/tuple/sharedread_test.go
@@ -14,17 +14,22 @@
 	g := gomega.NewWithT(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var reads atomic.Int64
+	const requests = 430
+	var reads, started atomic.Int64
 	shared := newSharedRead(ctx, time.Millisecond, func(context.Context) (int64, error) {
-		time.Sleep(20 * time.Millisecond)
+		for started.Load() < requests {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(50 * time.Millisecond) // the last requests wait by then
 		return reads.Add(1), nil
 	})
 	var group sync.WaitGroup
-	for range 430 {
+	for range requests {
 		group.Add(1)
 		go func() {
 			defer group.Done()
 			before := reads.Load()
+			started.Add(1)
 			read, err := shared.get(ctx)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			g.Expect(read).To(gomega.BeNumerically(">", before), "the read began before the request")
