--- a/agent/tuple/snapshots.go
+++ b/agent/tuple/snapshots.go
@@ -14,9 +14,6 @@
 	maxSnapshotPause = 30 * time.Second
 	// minSnapshotInterval is the shortest interval between stored snapshots.
 	minSnapshotInterval = 2 * time.Second
-	// tolerableIntervals is the number of such intervals for which a snapshot may lack flows whose callers repeat requests
-	// that fail: they lose time, not work.
-	tolerableIntervals = 2
 	// snapshotWriteShare is the fraction of the store's writes that the snapshots of all agents may use.
 	snapshotWriteShare = 0.25
 )
@@ -24,37 +21,25 @@
 // runSnapshots resets the flows of an earlier process of the backend server, and then stores a snapshot of the open
 // flows whenever the stored one is outdated.
 func (n *Node) runSnapshots() {
-	stored, storedAt := n.loadSnapshot(), time.Now()
+	stored := n.loadSnapshot()
 	interval := n.snapshotInterval()
 	for n.ctx.Err() == nil {
 		netio.Sleep(n.ctx, netio.Jitter(interval))
 		n.mu.Lock()
 		snapshot := n.dispatcher.Snapshot(time.Now())
 		n.mu.Unlock()
-		if snapshot.StartMillis == 0 || !mustStore(stored.Staleness(snapshot), time.Since(storedAt), interval) {
+		if snapshot.StartMillis == 0 || !stored.Outdated(snapshot) {
 			continue
 		}
 		if err := n.saveSnapshot(snapshot); err != nil {
 			interval = min(2*interval, maxSnapshotPause)
 			continue
 		}
-		stored, storedAt = snapshot, time.Now()
+		stored = snapshot
 		interval = n.snapshotInterval()
 	}
 }
 
-// mustStore reports whether a new snapshot has to be stored, given the staleness and the age of the stored one.
-func mustStore(staleness flows.Staleness, age, interval time.Duration) bool {
-	switch staleness {
-	case flows.StalenessUrgent:
-		return true
-	case flows.StalenessTolerable:
-		return age >= tolerableIntervals*interval
-	default:
-		return false
-	}
-}
-
 // loadSnapshot returns the last stored snapshot, whose flows it restores, once the store can be read.
 func (n *Node) loadSnapshot() flows.Snapshot {
 	if n.config.FirstStart {
--- a/lib/flows/director.go
+++ b/lib/flows/director.go
@@ -298,7 +298,6 @@
 		Forward: Forward{
 			LatencyTarget: route.LatencyTarget,
 			Origin:        d.config.Self,
-			Repeatable:    route.Repeatable,
 			Service:       service,
 			Timeout:       route.Timeout,
 			Urgency:       route.Urgency,
--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -71,7 +71,6 @@
 
 // flowState is the state of a flow that the backend server holds or may hold.
 type flowState struct {
-	answered       bool          // a request has been answered, so the caller uses the flow for several
 	dataSeen       bool          // the caller has sent data; nextSeq is valid
 	deadline       time.Time     // when the caller of the request in progress gives up
 	established    bool          // the backend server has sent a packet after its handshake
@@ -81,7 +80,6 @@
 	nextSeq        uint32        // sequence number after the caller's last data
 	openedAt       time.Time     // when the flow was admitted or first seen
 	ownerRecipient Endpoint      // balancer to send an Owner message to; zero when none is due
-	repeatable     bool          // the caller repeats requests that have failed
 	queueTime      time.Duration // time that the request in progress, or the flow's opening, was queued
 	requestID      string        // ID of the request in progress; empty when it could not be read
 	requestSeen    bool          // the request in progress has arrived, not only the flow's opening
--- a/lib/flows/message.go
+++ b/lib/flows/message.go
@@ -47,7 +47,6 @@
 	Origin        Endpoint      // balancer that forwarded the packet first
 	Overloaded    bool          // an agent in RejectedBy was too busy for the new flow
 	RejectedBy    []Endpoint    // agents that did not hold or accept the flow
-	Repeatable    bool          // callers repeat requests that have failed
 	Service       NameHash
 	Timeout       time.Duration // request timeout of the route
 	Urgency       int           // urgency of the route, from -128 to 127
@@ -146,15 +145,14 @@
 
 	forwardOverloaded = 1
 	forwardFinal      = 2
-	forwardRepeatable = 4
-	forwardAssigned   = 8
+	forwardAssigned   = 4
 
 	reportWarming = 1
 )
 
 // Append appends the encoded message of the given kind, KindForward or KindReturn.
 func (f *Forward) Append(dst []byte, kind MessageKind) []byte {
-	flags := flagBit(f.Overloaded, forwardOverloaded) | flagBit(f.Final, forwardFinal) | flagBit(f.Repeatable, forwardRepeatable) | flagBit(f.Assigned, forwardAssigned)
+	flags := flagBit(f.Overloaded, forwardOverloaded) | flagBit(f.Final, forwardFinal) | flagBit(f.Assigned, forwardAssigned)
 	dst = append(dst, byte(kind), flags)
 	dst = append(dst, byte(int8(max(-128, min(f.Urgency, 127)))))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(f.Service))
@@ -176,7 +174,6 @@
 	flags := r.byte()
 	f.Overloaded = flags&forwardOverloaded != 0
 	f.Final = flags&forwardFinal != 0
-	f.Repeatable = flags&forwardRepeatable != 0
 	f.Assigned = flags&forwardAssigned != 0
 	f.Urgency = int(int8(r.byte()))
 	f.Service = NameHash(r.uint64())
--- a/lib/flows/message_test.go
+++ b/lib/flows/message_test.go
@@ -34,7 +34,6 @@
 			Origin:        drawEndpoint(t),
 			Overloaded:    rapid.Bool().Draw(t, "overloaded"),
 			RejectedBy:    drawList(t),
-			Repeatable:    rapid.Bool().Draw(t, "repeatable"),
 			Service:       NameHash(rapid.Uint64().Draw(t, "service")),
 			Timeout:       time.Duration(rapid.IntRange(0, 65535).Draw(t, "timeout")) * time.Millisecond,
 			Urgency:       rapid.IntRange(-128, 127).Draw(t, "urgency"),
--- a/lib/flows/requests.go
+++ b/lib/flows/requests.go
@@ -42,7 +42,6 @@
 		state.ownerRecipient = f.Origin
 	}
 	state.lastAck = p.Ack
-	state.repeatable = f.Repeatable
 	if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
 		d.recordEnded(now, flow, state, EndingAbandoned) // the caller expects no response any more
 		d.clearRequest(state)
@@ -125,7 +124,6 @@
 func (d *Dispatcher) recordAnswered(now time.Time, flow Flow, state *flowState) {
 	d.recordEnded(now, flow, state, EndingAnswered)
 	d.clearRequest(state)
-	state.answered = true
 	serviceTime := now.Sub(state.startedAt)
 	if slots := d.config.Server.Slots(); state.inFlight > slots {
 		serviceTime = serviceTime * time.Duration(slots) / time.Duration(state.inFlight)
--- a/lib/flows/routes.go
+++ b/lib/flows/routes.go
@@ -13,7 +13,6 @@
 	Address       Endpoint
 	LatencyTarget time.Duration // target latency of a response
 	Name          string
-	Repeatable    bool          // callers repeat requests that have failed
 	Shares        []Share       // services by weight, at least one
 	Timeout       time.Duration // time after which the caller gives up
 	Urgency       int           // greater is more urgent
--- a/lib/flows/snapshot.go
+++ b/lib/flows/snapshot.go
@@ -15,9 +15,8 @@
 
 // FlowRecord holds what is needed to reset an open flow later.
 type FlowRecord struct {
-	Ack    uint32 // caller's last acknowledgement number
-	Flow   Flow
-	Urgent bool // the caller may send a request on it that it can't repeat; not stored
+	Ack  uint32 // caller's last acknowledgement number
+	Flow Flow
 }
 
 // Snapshot holds the flows of one process of a backend server. When that process has ended, so have the flows.
@@ -26,43 +25,22 @@
 	StartMillis int64        // start of the backend server's process; see Announcement
 }
 
-// Staleness tells how much a snapshot that was stored earlier lacks.
-type Staleness int
-
-// The values of Staleness.
-const (
-	// StalenessNone means that nothing is missing that is worth storing.
-	StalenessNone Staleness = iota
-	// StalenessTolerable means that only flows are missing whose callers repeat requests that fail.
-	StalenessTolerable
-	// StalenessUrgent means that a flow is missing whose caller may lose a request.
-	StalenessUrgent
-)
-
-// Staleness returns whether a snapshot that was stored earlier lacks flows of the current one, or holds acknowledgement
-// numbers that are too old to reset flows with. Flows that have closed since are no reason to store a new snapshot, as
-// their callers ignore resets.
-func (s Snapshot) Staleness(current Snapshot) Staleness {
+// Outdated reports whether a snapshot that was stored earlier lacks a flow of the current one, or holds an
+// acknowledgement number that is too old to reset a flow with. Flows that have closed since are no reason to store a
+// new snapshot, as their callers ignore resets.
+func (s Snapshot) Outdated(current Snapshot) bool {
 	if s.StartMillis != current.StartMillis {
-		if len(s.Flows)+len(current.Flows) == 0 {
-			return StalenessNone
-		}
-		return StalenessUrgent
+		return len(s.Flows)+len(current.Flows) > 0
 	}
-	staleness := StalenessNone
 	for _, record := range current.Flows {
 		i, found := slices.BinarySearchFunc(s.Flows, record.Flow, func(other FlowRecord, flow Flow) int {
 			return other.Flow.Compare(flow)
 		})
-		switch {
-		case found && distance(s.Flows[i].Ack, record.Ack) <= maxAckDrift:
-		case record.Urgent:
-			return StalenessUrgent
-		default:
-			staleness = StalenessTolerable
+		if !found || distance(s.Flows[i].Ack, record.Ack) > maxAckDrift {
+			return true
 		}
 	}
-	return staleness
+	return false
 }
 
 // distance returns how far apart two sequence numbers are, in either direction.
@@ -93,8 +71,7 @@
 	snapshot := Snapshot{StartMillis: d.config.Server.Current().StartMillis}
 	d.flows.Each(func(flow Flow, state *flowState) {
 		if state.established && now.Sub(state.openedAt) >= minSnapshotAge {
-			urgent := state.answered && !state.repeatable
-			snapshot.Flows = append(snapshot.Flows, FlowRecord{Ack: state.lastAck, Flow: flow, Urgent: urgent})
+			snapshot.Flows = append(snapshot.Flows, FlowRecord{Ack: state.lastAck, Flow: flow})
 		}
 	})
 	if d.restored.startMillis == snapshot.StartMillis && now.Before(d.restored.expires) {
--- a/lib/flows/snapshot_test.go
+++ b/lib/flows/snapshot_test.go
@@ -93,59 +93,22 @@
 func TestSnapshotIsOutdatedByNewFlowsAndMovedAcks(t *testing.T) {
 	moved := testSnapshot(1000, 2)
 	moved.Flows[1].Ack += maxAckDrift + 1
-	urgent := testSnapshot(1000, 3)
-	urgent.Flows[2].Urgent = true
 	movedBack := testSnapshot(1000, 2)
 	movedBack.Flows[0].Ack -= maxAckDrift
 	tests := map[string]struct {
-		current   Snapshot
-		staleness Staleness
+		current  Snapshot
+		outdated bool
 	}{
-		"acknowledgement moved far":      {moved, StalenessTolerable},
-		"acknowledgement moved a little": {movedBack, StalenessNone},
-		"flow closed":                    {testSnapshot(1000, 1), StalenessNone},
-		"new flow":                       {testSnapshot(1000, 3), StalenessTolerable},
-		"new flow of unsafe requests":    {urgent, StalenessUrgent},
-		"other process":                  {testSnapshot(2000, 2), StalenessUrgent},
-		"unchanged":                      {testSnapshot(1000, 2), StalenessNone},
+		"acknowledgement moved far":      {moved, true},
+		"acknowledgement moved a little": {movedBack, false},
+		"flow closed":                    {testSnapshot(1000, 1), false},
+		"new flow":                       {testSnapshot(1000, 3), true},
+		"other process":                  {testSnapshot(2000, 2), true},
+		"unchanged":                      {testSnapshot(1000, 2), false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			gomega.NewWithT(t).Expect(testSnapshot(1000, 2).Staleness(test.current)).To(gomega.Equal(test.staleness))
-		})
-	}
-}
-
-func TestOnlyReusedFlowsOfUnsafeRequestsAreUrgent(t *testing.T) {
-	tests := map[string]struct {
-		repeatable bool
-		answered   bool
-		urgent     bool
-	}{
-		"first request unsafe":  {false, false, false},
-		"unsafe requests":       {false, true, true},
-		"repeatable requests":   {true, true, false},
-		"first one repeatable ": {true, false, false},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			now := time.Unix(0, 0)
-			d, server := newRestartedDispatcher()
-			_, err := server.Announce(now, announcement(1000, 1, StateReady))
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			flow := testFlow(1)
-			reply := Packet{Destination: flow.Caller, Flags: FlagAck, Source: flow.Service}
-			d.HandleServerPacket(now, reply)
-			request := Packet{Destination: flow.Service, Flags: FlagAck, Length: 100, Source: flow.Caller}
-			d.HandleForward(now, &Forward{Repeatable: test.repeatable, Service: HashName(testService), Timeout: time.Second}, request)
-			if test.answered {
-				reply.Length = 100
-				d.HandleServerPacket(now, reply)
-			}
-			records := d.Snapshot(now.Add(minSnapshotAge)).Flows
-			g.Expect(records).To(gomega.HaveLen(1))
-			g.Expect(records[0].Urgent).To(gomega.Equal(test.urgent))
+			gomega.NewWithT(t).Expect(testSnapshot(1000, 2).Outdated(test.current)).To(gomega.Equal(test.outdated))
 		})
 	}
 }
--- a/standin/tuple/cluster_test.go
+++ b/standin/tuple/cluster_test.go
@@ -219,10 +219,15 @@
 		output, err := exec.Command(c.config.ProgramPath, arguments...).CombinedOutput()
 		return string(output), err
 	}
-	status, err := run("status", store)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var status string
+	countReady := func() int { // every agent at every balancer, once each backend server has announced itself
+		var err error
+		status, err = run("status", store)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return strings.Count(status, " ready  ")
+	}
+	g.Eventually(countReady, requestTimeout).Should(gomega.Equal(12))
 	g.Expect(strings.Count(status, "ready true, config 1")).To(gomega.Equal(3))
-	g.Expect(strings.Count(status, " ready  ")).To(gomega.Equal(12))
 	trace, err := run("trace", store, flow.address.String(), Route.String())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(strings.Count(trace, `route "r"`)).To(gomega.Equal(3))
