--- a/standin/tuple/objectstore.go
+++ b/standin/tuple/objectstore.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -10,12 +11,16 @@
 	"time"
 )
 
+// eraHeader is the response header with the store's era.
+const eraHeader = "Store-Era"
+
 // pageSize is the greatest number of objects in one response to a list request.
 const pageSize = 3
 
 // StoreFault configures the faults that the store injects.
 type StoreFault struct {
 	Delay            time.Duration // before each response
+	KeepsWatches     bool          // watches that wait when the store is restored stay open, and get no more events
 	Silent           bool          // requests get no response
 	Status           int           // HTTP status of every response, unless zero
 	UnansweredWrites int           // number of writes that are applied but get no response
@@ -53,6 +58,7 @@
 	changed         chan struct{} // closed and replaced at each change
 	counts          RequestCounts
 	droppedRevision uint64  // events up to this revision are dropped
+	era             uint64  // rises with each restore
 	events          []Event // changes after droppedRevision, in order
 	fault           StoreFault
 	mu              sync.Mutex
@@ -62,7 +68,7 @@
 
 // NewObjectStore returns an empty store.
 func NewObjectStore() *ObjectStore {
-	return &ObjectStore{changed: make(chan struct{}), objects: map[string]Object{}, revision: 10}
+	return &ObjectStore{changed: make(chan struct{}), era: 1, objects: map[string]Object{}, revision: 10}
 }
 
 // Set writes an object without a revision check, as the operator does.
@@ -112,6 +118,40 @@
 	o.events = nil
 }
 
+// Backup holds the store's content at one moment.
+type Backup struct {
+	events   []Event
+	objects  map[string]Object
+	revision uint64
+}
+
+// Backup returns a copy of the present content.
+func (o *ObjectStore) Backup() Backup {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return Backup{events: slices.Clone(o.events), objects: maps.Clone(o.objects), revision: o.revision}
+}
+
+// Restore replaces the content by that of a backup and begins the next era. All later changes are lost, and their revisions
+// are given out again.
+func (o *ObjectStore) Restore(backup Backup) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.era++
+	o.events = slices.Clone(backup.events)
+	o.objects = maps.Clone(backup.objects)
+	o.revision = backup.revision
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// Revision returns the revision of the last change.
+func (o *ObjectStore) Revision() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.revision
+}
+
 // ServeHTTP handles one request, subject to the injected faults.
 func (o *ObjectStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	fault := o.currentFault()
@@ -120,6 +160,7 @@
 		<-r.Context().Done()
 		return
 	}
+	w.Header().Set(eraHeader, strconv.FormatUint(o.currentEra(), 10))
 	if fault.Status != 0 {
 		w.WriteHeader(fault.Status)
 		return
@@ -143,6 +184,12 @@
 	return o.fault
 }
 
+func (o *ObjectStore) currentEra() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.era
+}
+
 func (o *ObjectStore) list(w http.ResponseWriter, r *http.Request, kind string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -179,13 +226,21 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	o.mu.Lock()
 	o.counts.Watches++
+	startEra := o.era
 	o.mu.Unlock()
 	for {
 		o.mu.Lock()
-		historyDropped := from < o.droppedRevision
+		unknownRevision := from < o.droppedRevision || from > o.revision
 		events, revision, changed := o.eventsSince(kind, from), o.revision, o.changed
+		restored, keepsWatches := o.era != startEra, o.fault.KeepsWatches
 		o.mu.Unlock()
-		if historyDropped {
+		if restored && !keepsWatches {
+			panic(http.ErrAbortHandler) // closes the connection
+		}
+		if restored {
+			events, unknownRevision = nil, false
+		}
+		if unknownRevision {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
