--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 ROUNDS ?= 20
 SEED ?= 1
 SKIP_SPECS ?=
+SKIP_TESTS ?=
 MODULES := lib balancer agent cyclamendock platform standin
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 TOOLS := bin/tools
@@ -17,7 +18,7 @@
 	go build -o bin/ ./balancer ./agent ./cyclamendock ./platform ./standin
 
 test: build
-	SEED=$(SEED) SKIP_SPECS="$(SKIP_SPECS)" go test -count=1 -timeout 15m $(PACKAGES)
+	SEED=$(SEED) SKIP_SPECS="$(SKIP_SPECS)" go test -count=1 -timeout 15m $(if $(SKIP_TESTS),-skip '^($(SKIP_TESTS))$$') $(PACKAGES)
 
 demo: build
 ifeq ($(CARRIAGE),tuple)
--- /dev/null
+++ b/standin/tuple/restore_test.go
@@ -0,0 +1,108 @@
+package tuple
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+const (
+	// maxConfigLag is the default of the setting configDeadline.
+	maxConfigLag = 3 * time.Second
+	// maxReturnTime is how soon after the store's return everything that lives is to be found there again.
+	maxReturnTime = 3 * time.Second
+	pollInterval  = 50 * time.Millisecond
+)
+
+var configVersionMetric = regexp.MustCompile(`cyclamendock_balancer_config_version (\d+)`)
+
+// configVersion returns the version that a balancer applies, or zero when it can't be read.
+func configVersion(c *Cluster, balancer int) int {
+	page, err := c.Metrics(fmt.Sprintf("balancer-%d", balancer))
+	if err != nil {
+		return 0
+	}
+	match := configVersionMetric.FindStringSubmatch(page)
+	if match == nil {
+		return 0
+	}
+	version, _ := strconv.Atoi(match[1])
+	return version
+}
+
+// restoreAfterOutage takes the store away for a while and brings it back with the content of a backup.
+func restoreAfterOutage(c *Cluster, backup Backup) {
+	c.Store.SetFault(StoreFault{Status: 503})
+	time.Sleep(500 * time.Millisecond)
+	c.Store.Restore(backup)
+	c.Store.SetFault(StoreFault{})
+}
+
+// The operator's changes after the store has come back from an older copy are in force in time, and cost few calls.
+func TestChangeAfterTheStoreIsRestoredIsInForceInTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := startTestCluster(t, 127)
+	backup := c.Store.Backup()
+	for version := 2; version < 40; version++ {
+		c.SetConfig(version)
+	}
+	g.Eventually(func() int { return configVersion(c, 0) }, maxConfigLag, pollInterval).Should(gomega.Equal(39))
+	restoreAfterOutage(c, backup)
+	c.SetConfig(39)
+	time.Sleep(maxConfigLag)
+	before := c.Store.Counts()
+	c.SetConfig(40)
+	deadline := time.Now().Add(maxConfigLag)
+	for balancer := range c.config.Balancers {
+		g.Eventually(func() int { return configVersion(c, balancer) }, time.Until(deadline), pollInterval).Should(gomega.Equal(40), "balancer %d", balancer)
+	}
+	g.Expect(c.Store.Counts().Lists - before.Lists).To(gomega.BeNumerically("<=", c.config.Balancers))
+}
+
+// Balancers and agents that joined after the copy was made are found in the store again, and so are their snapshots.
+func TestMembersAndSnapshotsReturnAfterTheStoreIsRestored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := startTestCluster(t, 125)
+	openFlows(g, c, "restored", 20)
+	kinds := []string{"cyclamendock-members", "cyclamendock-flows"}
+	names := map[string][]string{}
+	g.Eventually(func() int { return len(c.Store.Names("cyclamendock-flows")) }, 5*time.Second, pollInterval).Should(gomega.Equal(len(c.Backends)))
+	for _, kind := range kinds {
+		names[kind] = c.Store.Names(kind)
+	}
+	empty := NewObjectStore().Backup()
+	restoreAfterOutage(c, empty)
+	c.SetConfig(1)
+	flows := openFlows(g, c, "restored-later", 3)
+	g.Eventually(func() []string { return c.Store.Names("cyclamendock-members") }, maxReturnTime, pollInterval).Should(gomega.Equal(names["cyclamendock-members"]))
+	g.Eventually(func() []string { return c.Store.Names("cyclamendock-flows") }, 2*maxReturnTime, pollInterval).Should(gomega.Equal(names["cyclamendock-flows"]))
+	for _, err := range getAll(flows, "restored-last", 3000) {
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+}
+
+// An agent whose entry was lost with the store's latest changes restarts, and so do all balancers; its flows live on.
+func TestFlowsOfRestartedAgentWhoseEntryWasLostAreNotReset(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := startTestCluster(t, 126)
+	flows := openFlows(g, c, "unlisted", 20)
+	empty := NewObjectStore().Backup()
+	for _, process := range c.processes {
+		process.Signal(syscall.SIGKILL)
+		g.Expect(process.WaitExit(requestTimeout)).To(gomega.BeTrue())
+	}
+	restoreAfterOutage(c, empty)
+	c.SetConfig(1)
+	for name := range c.processes {
+		g.Expect(c.Restart(name)).To(gomega.Succeed())
+	}
+	for _, err := range getAll(flows, "unlisted-restarted", 3000) {
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	checkBackends(g, c)
+}
