Compare revisions of the store only within its era

Cause: the adapter kept the greatest revision seen and compared it with those of the restored store, which are lower and are given out again. Class: positions of one history compared with those of another.

Fix: a version is an era and a revision.

--- a/balancer/node/platform.go
+++ b/balancer/node/platform.go
@@ -73,7 +73,7 @@
 // runWatch watches the platform's configuration while this balancer is one of the first fleet.ZoneWriterCount writers of
 // its zone's object.
 func (n *Node) runWatch() {
-	var headVersion uint64
+	var headVersion store.Version
 	for n.Ctx.Err() == nil {
 		var rank int
 		n.state.withLock(func() { rank = n.state.zoneRank() })
@@ -85,9 +85,9 @@
 	}
 }
 
-// watchOnce waits until the configuration's head object is newer than headVersion, applies it, and returns the version
+// watchOnce waits until the version of the configuration's head object differs from headVersion, applies it, and returns the version
 // from which the next watch starts.
-func (n *Node) watchOnce(headVersion uint64) uint64 {
+func (n *Node) watchOnce(headVersion store.Version) store.Version {
 	object, err := n.Store.Watch(n.Ctx, config.HeadKey, headVersion)
 	if fault.Is(err, fault.Missing) {
 		n.recordPlatformAnswer()
@@ -144,7 +144,7 @@
 	object, err := n.Store.Get(n.Ctx, n.zoneKey())
 	if fault.Is(err, fault.Missing) {
 		n.recordPlatformAnswer()
-		n.state.withLock(func() { n.state.zoneWriter.Loaded(0, 0) })
+		n.state.withLock(func() { n.state.zoneWriter.Loaded(store.Version{}, 0) })
 		return
 	}
 	if err != nil {
@@ -162,7 +162,8 @@
 
 func (n *Node) saveZone(now time.Time) {
 	var value []byte
-	var digest, version uint64
+	var digest uint64
+	var version store.Version
 	n.state.withLock(func() {
 		value = fleet.EncodeRecords(n.state.memberReplica.ZoneRecords(now, n.settings.AvailabilityZone))
 		digest = n.state.memberReplica.ZoneDigest(n.settings.AvailabilityZone)
@@ -181,7 +182,7 @@
 	})
 }
 
-func (n *Node) put(key string, value []byte, version uint64) (store.Object, error) {
+func (n *Node) put(key string, value []byte, version store.Version) (store.Object, error) {
 	object, err := n.Store.Put(n.Ctx, key, value, version)
 	if err == nil {
 		n.recordPlatformAnswer()
--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -8,6 +8,7 @@
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/netio"
 	"github.com/cyclamendock/cyclamendock/lib/snap"
+	"github.com/cyclamendock/cyclamendock/lib/store"
 )
 
 const (
@@ -100,13 +101,13 @@
 // runConfigWatch watches the configuration in the store and applies its changes.
 func (n *Node) runConfigWatch() {
 	pause := netio.MinRetryPause
-	var version uint64
+	var known store.Version
 	for n.ctx.Err() == nil {
-		object, err := n.config.Store.Watch(n.ctx, n.config.ConfigKey, version)
+		object, err := n.config.Store.Watch(n.ctx, n.config.ConfigKey, known)
 		switch {
 		case err == nil:
 			pause = netio.MinRetryPause
-			version = object.Version
+			known = object.Version
 			n.recordConfigRead()
 			n.applyConfig(object.Value, "store")
 			netio.Sleep(n.ctx, watchPause)
--- a/lib/config/submit.go
+++ b/lib/config/submit.go
@@ -118,17 +118,17 @@
 }
 
 // ReadHead returns the head and the version of its object, which is zero when no patch has been accepted yet.
-func ReadHead(ctx context.Context, platform store.Store) (Head, uint64, error) {
+func ReadHead(ctx context.Context, platform store.Store) (Head, store.Version, error) {
 	object, err := platform.Get(ctx, HeadKey)
 	if fault.Is(err, fault.Missing) {
-		return Head{}, 0, nil
+		return Head{}, store.Version{}, nil
 	}
 	if err != nil {
-		return Head{}, 0, err
+		return Head{}, store.Version{}, err
 	}
 	head, err := DecodeHead(object.Value)
 	if err != nil {
-		return Head{}, 0, err
+		return Head{}, store.Version{}, err
 	}
 	return head, object.Version, nil
 }
@@ -172,7 +172,7 @@
 
 // writeSnapshot writes a snapshot unless it exists; all processes write the same content for a version.
 func writeSnapshot(ctx context.Context, platform store.Store, c Config) error {
-	_, err := platform.Put(ctx, snapshotKey(c.Version), EncodeConfig(c), 0)
+	_, err := platform.Put(ctx, snapshotKey(c.Version), EncodeConfig(c), store.Version{})
 	if err == nil || fault.Is(err, fault.Stale) {
 		return nil
 	}
--- a/lib/flaky/store.go
+++ b/lib/flaky/store.go
@@ -46,6 +46,9 @@
 	return err
 }
 
+// Era returns the latest era of the wrapped store.
+func (s *Store) Era() uint64 { return s.inner.Era() }
+
 // Get returns an object, its previous version in a stale read, or an Unavailable fault.
 func (s *Store) Get(ctx context.Context, key string) (store.Object, error) {
 	injected := s.chooseFault("get")
@@ -69,7 +72,7 @@
 }
 
 // Put writes an object, or returns an Unavailable fault; if the response is lost, the object is still written.
-func (s *Store) Put(ctx context.Context, key string, value []byte, expected uint64) (store.Object, error) {
+func (s *Store) Put(ctx context.Context, key string, value []byte, expected store.Version) (store.Object, error) {
 	injected := s.chooseFault("put")
 	if injected == RequestLost {
 		return store.Object{}, unavailable()
@@ -85,12 +88,12 @@
 	return object, err
 }
 
-// Watch waits until the object's version is greater than the given one, or returns an Unavailable fault.
-func (s *Store) Watch(ctx context.Context, key string, after uint64) (store.Object, error) {
+// Watch waits until the object's version differs from the given one, or returns an Unavailable fault.
+func (s *Store) Watch(ctx context.Context, key string, known store.Version) (store.Object, error) {
 	if injected := s.chooseFault("watch"); injected == RequestLost || injected == ResponseLost {
 		return store.Object{}, unavailable()
 	}
-	return s.inner.Watch(ctx, key, after)
+	return s.inner.Watch(ctx, key, known)
 }
 
 func unavailable() error {
--- a/lib/fleet/zonewriter.go
+++ b/lib/fleet/zonewriter.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/store"
+)
 
 const (
 	// ZoneWriterCount is the number of balancers of a zone that may write the zone's object.
@@ -26,11 +30,11 @@
 // ZoneWriter decides when a balancer writes its zone's records to the platform.
 type ZoneWriter struct {
 	callPending  bool
-	dirtySince   time.Time // zero while the stored object is up to date
-	loaded       bool      // the object has been read since the last failure or conflict
-	retryAt      time.Time // no call before this time
-	storedDigest uint64    // digest of the records in the stored object
-	version      uint64    // of the stored object
+	dirtySince   time.Time     // zero while the stored object is up to date
+	loaded       bool          // the object has been read since the last failure or conflict
+	retryAt      time.Time     // no call before this time
+	storedDigest uint64        // digest of the records in the stored object
+	version      store.Version // of the stored object
 }
 
 // NewZoneWriter returns a ZoneWriter that has not read the zone's object yet.
@@ -51,7 +55,7 @@
 }
 
 // Version returns the version of the zone's object that a write must expect.
-func (w *ZoneWriter) Version() uint64 { return w.version }
+func (w *ZoneWriter) Version() store.Version { return w.version }
 
 // Tick returns the platform call that is due; digest is the digest of the zone's records in the local replica.
 func (w *ZoneWriter) Tick(now time.Time, rank int, digest uint64) Task {
@@ -77,7 +81,7 @@
 }
 
 // Loaded records the version and digest of the zone's object; both are zero when the object doesn't exist.
-func (w *ZoneWriter) Loaded(version, digest uint64) {
+func (w *ZoneWriter) Loaded(version store.Version, digest uint64) {
 	w.callPending = false
 	w.loaded = true
 	w.storedDigest = digest
@@ -85,7 +89,7 @@
 }
 
 // Saved records a successful write.
-func (w *ZoneWriter) Saved(version, digest uint64) {
+func (w *ZoneWriter) Saved(version store.Version, digest uint64) {
 	w.Loaded(version, digest)
 	w.dirtySince = time.Time{}
 }
--- a/lib/member/directory.go
+++ b/lib/member/directory.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "the member can't be encoded", "report this")
 	}
-	_, err = d.config.Store.Put(ctx, key(d.config.Self.Address), value, 0)
+	_, err = d.config.Store.Put(ctx, key(d.config.Self.Address), value, store.Version{})
 	if !fault.Is(err, fault.Stale) {
 		return err
 	}
--- a/lib/member/directory_test.go
+++ b/lib/member/directory_test.go
@@ -82,7 +82,7 @@
 		"nowhere":  `{"address":"nowhere","role":"agent"}`,
 		"stranger": `{"address":"10.1.0.9:7000","role":"router"}`,
 	} {
-		_, err := shared.Put(ctx, Prefix+name, []byte(value), 0)
+		_, err := shared.Put(ctx, Prefix+name, []byte(value), store.Version{})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 	}
 	directory, logged := newTestDirectory(shared, agent)
--- a/lib/snap/archive.go
+++ b/lib/snap/archive.go
@@ -22,7 +22,7 @@
 type Archive struct {
 	key     string
 	store   store.Store
-	version uint64 // version of the stored snapshot as last read or written; zero when there is none
+	version store.Version // version of the stored snapshot as last read or written; zero when there is none
 }
 
 // NewArchive returns the archive of the agent with the given address.
@@ -34,7 +34,7 @@
 func (a *Archive) Load(ctx context.Context) (flows.Snapshot, error) {
 	object, err := a.store.Get(ctx, a.key)
 	if fault.Is(err, fault.Missing) {
-		a.version = 0
+		a.version = store.Version{}
 		return flows.Snapshot{}, nil
 	}
 	if err != nil {
@@ -64,7 +64,7 @@
 	if err := a.store.Delete(ctx, a.key); err != nil {
 		return err
 	}
-	a.version = 0
+	a.version = store.Version{}
 	return nil
 }
 
--- a/lib/snap/archive_test.go
+++ b/lib/snap/archive_test.go
@@ -56,7 +56,7 @@
 		g := gomega.NewWithT(t)
 		objects := store.NewMemory()
 		archive := NewArchive(objects, agent)
-		_, err := objects.Put(t.Context(), archive.key, []byte(value), 0)
+		_, err := objects.Put(t.Context(), archive.key, []byte(value), store.Version{})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		_, err = archive.Load(t.Context())
 		g.Expect(fault.Is(err, fault.Invalid)).To(gomega.BeTrue())
--- a/lib/store/client.go
+++ b/lib/store/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/lib/fault"
@@ -18,6 +19,8 @@
 	MaxValueSize = 1 << 20
 	// VersionHeader is the response header with the version of an object.
 	VersionHeader = "Object-Version"
+	// EraHeader is the header of all responses with the store's era.
+	EraHeader = "Store-Era"
 
 	callTimeout  = 3 * time.Second
 	watchTimeout = 30 * time.Second // time after which the platform ends a watch without a change
@@ -31,6 +34,7 @@
 // Client is a Store that calls the platform's HTTP API.
 type Client struct {
 	baseURL string
+	era     atomic.Uint64
 	http    *http.Client
 }
 
@@ -54,6 +58,9 @@
 	return nil
 }
 
+// Era returns the latest era that the platform has stated; zero before its first answer.
+func (c *Client) Era() uint64 { return c.era.Load() }
+
 // Get returns an object, or a Missing or Unavailable fault.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -62,20 +69,20 @@
 }
 
 // Put writes an object if its version is the expected one, or returns a Stale or Unavailable fault.
-func (c *Client) Put(ctx context.Context, key string, value []byte, expected uint64) (Object, error) {
+func (c *Client) Put(ctx context.Context, key string, value []byte, expected Version) (Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	query := url.Values{"expected": {strconv.FormatUint(expected, 10)}}
+	query := url.Values{"expected": {expected.String()}}
 	return c.doObject(ctx, http.MethodPut, key, query, value)
 }
 
-// Watch waits until the object's version is greater than the given one, or returns a Missing fault after the watch
-// timeout, or an Unavailable fault.
-func (c *Client) Watch(ctx context.Context, key string, after uint64) (Object, error) {
+// Watch waits until the object's version differs from the given one, or returns a Missing fault after the watch timeout,
+// or an Unavailable fault.
+func (c *Client) Watch(ctx context.Context, key string, known Version) (Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout+callTimeout)
 	defer cancel()
 	query := url.Values{
-		"after":   {strconv.FormatUint(after, 10)},
+		"known":   {known.String()},
 		"timeout": {watchTimeout.String()},
 	}
 	return c.doObject(ctx, http.MethodGet, key, query, nil)
@@ -125,7 +132,7 @@
 	if err != nil {
 		return Object{}, unavailable(err)
 	}
-	version, err := strconv.ParseUint(response.Header.Get(VersionHeader), 10, 64)
+	version, err := ParseVersion(response.Header.Get(VersionHeader))
 	if err != nil {
 		return Object{}, unavailable(err)
 	}
@@ -142,9 +149,19 @@
 	if err != nil {
 		return nil, unavailable(err)
 	}
+	if era, err := strconv.ParseUint(response.Header.Get(EraHeader), 10, 64); err == nil {
+		c.recordEra(era)
+	}
 	return response, nil
 }
 
+// recordEra raises the latest era.
+func (c *Client) recordEra(era uint64) {
+	for known := c.era.Load(); era > known; known = c.era.Load() {
+		c.era.CompareAndSwap(known, era)
+	}
+}
+
 func unavailable(cause error) error {
 	return fault.Wrap(cause, fault.Unavailable, "the platform does not answer", "try again when it is back")
 }
--- a/lib/store/memory.go
+++ b/lib/store/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -10,13 +11,14 @@
 // Memory is a Store that keeps its objects in memory.
 type Memory struct {
 	changed chan struct{} // closed and replaced by each write
+	era     uint64
 	mu      sync.Mutex
 	objects map[string]Object
 }
 
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
-	return &Memory{changed: make(chan struct{}), objects: map[string]Object{}}
+	return &Memory{changed: make(chan struct{}), era: 1, objects: map[string]Object{}}
 }
 
 // Delete removes an object.
@@ -27,6 +29,33 @@
 	return nil
 }
 
+// Era returns the current era.
+func (m *Memory) Era() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
+}
+
+// Backup returns a copy of all objects, for Restore.
+func (m *Memory) Backup() map[string]Object {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.objects)
+}
+
+// Restore replaces all objects by those of a backup and begins the next era, as after a loss of all later changes.
+func (m *Memory) Restore(backup map[string]Object) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	m.objects = make(map[string]Object, len(backup))
+	for key, object := range backup {
+		object.Version.Era = m.era
+		m.objects[key] = object
+	}
+	m.notify()
+}
+
 // Get returns an object, or a Missing fault.
 func (m *Memory) Get(_ context.Context, key string) (Object, error) {
 	m.mu.Lock()
@@ -53,26 +82,26 @@
 }
 
 // Put writes an object if its version is the expected one, or returns a Stale fault.
-func (m *Memory) Put(_ context.Context, key string, value []byte, expected uint64) (Object, error) {
+func (m *Memory) Put(_ context.Context, key string, value []byte, expected Version) (Object, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.objects[key].Version != expected {
 		return Object{}, stale(key)
 	}
-	object := Object{Key: key, Value: slices.Clone(value), Version: expected + 1}
+	object := Object{Key: key, Value: slices.Clone(value), Version: Version{Era: m.era, Revision: expected.Revision + 1}}
 	m.objects[key] = object
-	close(m.changed)
-	m.changed = make(chan struct{})
+	m.notify()
 	return object, nil
 }
 
-// Watch waits until the object's version is greater than the given one, or returns a Missing fault when ctx ends.
-func (m *Memory) Watch(ctx context.Context, key string, after uint64) (Object, error) {
+// Watch waits until the object's version differs from the given one, or returns a Missing fault when ctx ends.
+func (m *Memory) Watch(ctx context.Context, key string, known Version) (Object, error) {
 	for {
 		m.mu.Lock()
-		object, changed := m.objects[key], m.changed
+		object, exists := m.objects[key]
+		changed := m.changed
 		m.mu.Unlock()
-		if object.Version > after {
+		if exists && object.Version != known {
 			return object, nil
 		}
 		select {
@@ -83,4 +112,10 @@
 	}
 }
 
+// notify wakes all watches; mu must be held.
+func (m *Memory) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 var _ Store = (*Memory)(nil)
--- a/lib/store/store.go
+++ b/lib/store/store.go
@@ -12,23 +12,26 @@
 type Object struct {
 	Key     string
 	Value   []byte
-	Version uint64 // grows with each write and is never zero
+	Version Version
 }
 
 // Store is a key-value store with compare-and-swap and watches, as the platform's object API provides it.
 type Store interface {
 	// Delete removes an object, or returns an Unavailable fault; deleting a missing object is no error.
 	Delete(ctx context.Context, key string) error
+	// Era returns the latest era that the store has stated so far; zero before its first answer.
+	Era() uint64
 	// Get returns an object, or a Missing or Unavailable fault.
 	Get(ctx context.Context, key string) (Object, error)
 	// List returns the objects whose keys have the given prefix, or an Unavailable fault.
 	List(ctx context.Context, prefix string) ([]Object, error)
 	// Put writes an object if its version is the expected one, where zero means that the object doesn't exist. It returns
 	// a Stale fault on a different version, and an Unavailable fault when it is unknown whether the write took effect.
-	Put(ctx context.Context, key string, value []byte, expected uint64) (Object, error)
-	// Watch waits until the object's version is greater than the given one and returns the object, or a Missing fault
-	// when there is no such version before the watch times out, or an Unavailable fault.
-	Watch(ctx context.Context, key string, after uint64) (Object, error)
+	Put(ctx context.Context, key string, value []byte, expected Version) (Object, error)
+	// Watch waits until the object's version differs from the given one and returns the object, or a Missing fault
+	// when that does not happen before the watch times out, or an Unavailable fault. After the store has lost changes it
+	// returns the object anew, whether or not its value differs.
+	Watch(ctx context.Context, key string, known Version) (Object, error)
 }
 
 // AddressName returns the part of a key that names the process with the given address.
--- a/standin/object/platform.go
+++ b/standin/object/platform.go
@@ -84,6 +84,7 @@
 		faults := p.faults
 		p.mu.Unlock()
 		time.Sleep(faults.Delay)
+		w.Header().Set(store.EraHeader, strconv.FormatUint(p.memory.Era(), 10))
 		if faults.Down {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
@@ -100,7 +101,7 @@
 
 func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
 	key := r.PathValue("key")
-	if r.URL.Query().Has("after") {
+	if r.URL.Query().Has("known") {
 		p.watch(w, r, key)
 		return
 	}
@@ -111,11 +112,15 @@
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request, key string) {
 	p.updateCounts(func(c *RequestCounts) { c.Watches++ })
-	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	known, err := store.ParseVersion(r.URL.Query().Get("known"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	timeout, _ := time.ParseDuration(r.URL.Query().Get("timeout"))
 	ctx, cancel := context.WithTimeout(r.Context(), timeout)
 	defer cancel()
-	object, err := p.memory.Watch(ctx, key, after)
+	object, err := p.memory.Watch(ctx, key, known)
 	if p.isDown() {
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
@@ -130,7 +135,11 @@
 		http.Error(w, "too large", http.StatusRequestEntityTooLarge)
 		return
 	}
-	expected, _ := strconv.ParseUint(r.URL.Query().Get("expected"), 10, 64)
+	expected, err := store.ParseVersion(r.URL.Query().Get("expected"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	object, err := p.memory.Put(r.Context(), r.PathValue("key"), value, expected)
 	if err == nil && strings.HasPrefix(object.Key, "config/") && p.takeLostAnswer() {
 		http.Error(w, "lost", http.StatusGatewayTimeout)
@@ -175,7 +184,7 @@
 	case fault.Is(err, fault.Stale):
 		w.WriteHeader(http.StatusPreconditionFailed)
 	default:
-		w.Header().Set(store.VersionHeader, strconv.FormatUint(object.Version, 10))
+		w.Header().Set(store.VersionHeader, object.Version.String())
 		_, _ = w.Write(object.Value)
 	}
 }
