--- a/agent/tuple/members.go
+++ b/agent/tuple/members.go
@@ -26,12 +26,18 @@
 // with the next backend server.
 func (n *Node) runMembers() {
 	n.joinAtStart()
+	joinRequested := n.joinRequested
+	var pauseEnd <-chan time.Time
 	for n.ctx.Err() == nil {
 		select {
-		case <-n.joinRequested:
+		case <-n.entryChecks:
+			n.checkEntry()
+		case <-joinRequested:
 			n.setListing(flows.ListingAbsent)
 			n.join(false)
-			netio.Sleep(n.ctx, minJoinPause)
+			joinRequested, pauseEnd = nil, time.After(minJoinPause)
+		case <-pauseEnd:
+			joinRequested = n.joinRequested
 		case <-n.leaveRequested:
 			n.leaveMembers()
 			n.waitForServer()
--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -61,6 +61,8 @@
 	ctx             context.Context
 	directory       *member.Directory
 	dispatcher      *flows.Dispatcher
+	entryChecks     chan struct{} // wakes runMembers to check this agent's entry among the members
+	eras            store.Eras    // as stated by the store and by balancers
 	inlet           *net.UDPConn  // connected to the backend server's address
 	joinRequested   chan struct{} // wakes runMembers to join the member list again
 	leaveRequested  chan struct{} // wakes runMembers after the backend server has ended for good
@@ -104,6 +106,7 @@
 			Service:      flows.HashName(config.Service),
 			Zone:         flows.HashName(config.Zone),
 		}),
+		entryChecks:     make(chan struct{}, 1),
 		joinRequested:   make(chan struct{}, 1),
 		leaveRequested:  make(chan struct{}, 1),
 		meter:           newMeter(config.Stats),
--- a/agent/tuple/packets.go
+++ b/agent/tuple/packets.go
@@ -85,11 +85,7 @@
 	case flows.KindForward:
 		n.handleForward(now, out, message, from)
 	case flows.KindHello:
-		n.mu.Lock()
-		n.dispatcher.HandleHello(now, flows.EndpointOf(from))
-		report := n.dispatcher.Report(now)
-		n.mu.Unlock()
-		out.QueueMessage(report.Append, flows.EndpointOf(from))
+		n.handleHello(now, out, message, from)
 	case flows.KindJoin:
 		n.requestJoin()
 	default:
@@ -97,6 +93,20 @@
 	}
 }
 
+func (n *Node) handleHello(now time.Time, out *netio.Sender, message []byte, from netip.AddrPort) {
+	var hello flows.Hello
+	if !hello.Decode(message) {
+		n.config.Ignored.Record(now, netio.InputMessage, from.String(), "malformed message")
+		return
+	}
+	n.recordEra(hello.Era)
+	n.mu.Lock()
+	n.dispatcher.HandleHello(now, flows.EndpointOf(from))
+	report := n.dispatcher.Report(now)
+	n.mu.Unlock()
+	out.QueueMessage(report.Append, flows.EndpointOf(from))
+}
+
 func (n *Node) handleForward(now time.Time, out *netio.Sender, message []byte, from netip.AddrPort) {
 	var f flows.Forward
 	if !f.Decode(message) {
@@ -108,6 +118,7 @@
 		n.config.Ignored.Record(now, netio.InputMessage, from.String(), "malformed packet in the message")
 		return
 	}
+	n.recordEra(f.Era)
 	n.mu.Lock()
 	verdict := n.dispatcher.HandleForward(now, &f, packet)
 	n.mu.Unlock()
--- a/agent/tuple/snapshots.go
+++ b/agent/tuple/snapshots.go
@@ -28,6 +28,9 @@
 		n.mu.Lock()
 		snapshot := n.dispatcher.Snapshot(time.Now())
 		n.mu.Unlock()
+		if n.archive.Era() < n.eras.Latest() {
+			stored = flows.Snapshot{} // the store may have lost it
+		}
 		if snapshot.StartMillis == 0 || !stored.Outdated(snapshot) {
 			continue
 		}
--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -92,8 +92,9 @@
 	for i := range verdicts {
 		n.execute(now, out, &verdicts[i], verdicts[i].Forward.Datagram)
 	}
+	hello := flows.Hello{Era: n.eras.Latest()}
 	for _, agent := range hellos {
-		out.QueueMessage(flows.AppendHello, agent)
+		out.QueueMessage(hello.Append, agent)
 	}
 	out.Flush()
 }
@@ -136,6 +137,7 @@
 	for {
 		select {
 		case now := <-ticks:
+			n.recordEra(n.config.Store.Era())
 			if n.configCheckDue(now) {
 				n.checkConfig()
 			}
@@ -148,7 +150,7 @@
 func (n *Node) configCheckDue(now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.director.Version() > 0 && n.configReads.due(now)
+	return n.director.Version() > 0 && (n.configReads.due(now) || n.missesEra())
 }
 
 // checkConfig reads and applies the configuration and sends all balancers digests that state that it was read.
--- a/balancer/tuple/isolation.go
+++ b/balancer/tuple/isolation.go
@@ -73,8 +73,9 @@
 	}
 	n.mu.Unlock()
 	n.requestDigests(asked)
+	hello := flows.Hello{Era: n.eras.Latest()}.Append(nil)
 	for _, agent := range agents {
-		n.socket.Send(flows.AppendHello(nil), agent.AddrPort())
+		n.socket.Send(hello, agent.AddrPort())
 	}
 	if n.cutOff.Swap(cutOff) != cutOff {
 		n.config.Log.Warn("Reachability of the agents has changed.", logs.Fields{"balancersAsked": len(asked), "cutOff": cutOff})
--- a/balancer/tuple/members.go
+++ b/balancer/tuple/members.go
@@ -26,6 +26,7 @@
 type MemberList struct {
 	Agents    []string // addresses
 	Balancers []string // addresses
+	Era       uint64   // latest era that the store has stated
 }
 
 // Members reads the list of members from the store, with one read for all balancers that ask at about the same time.
@@ -36,6 +37,7 @@
 	if err != nil {
 		return err
 	}
+	list.Era = h.node.config.Store.Era()
 	for _, m := range members {
 		switch m.Role {
 		case member.RoleAgent:
@@ -64,7 +66,9 @@
 		n.mu.Unlock()
 		n.config.Log.Warn("Another balancer can't read the members.", logs.Fields{"balancer": reader.String(), "error": err.Error()})
 	}
-	return n.memberReads.get(n.ctx)
+	members, err := n.memberReads.get(n.ctx)
+	n.recordEra(n.config.Store.Era())
+	return members, err
 }
 
 // requestMembers asks another balancer to read the list of members.
@@ -76,6 +80,7 @@
 		return nil, err
 	}
 	now := time.Now()
+	n.recordEra(list.Era)
 	var members []member.Member
 	for _, address := range n.parseAddresses(now, list.Agents) {
 		members = append(members, member.Member{Address: address, Role: member.RoleAgent})
--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -59,6 +59,8 @@
 	cutOff       atomic.Bool // see isolation
 	director     *flows.Director
 	directory    *member.Directory
+	entryChecks  chan struct{} // wakes runEntryChecks to check this balancer's entry among the members
+	eras         store.Eras    // as stated by the store and by other balancers
 	front        *udpio.Socket
 	isolation    isolation
 	memberChecks chan struct{} // wakes runMembers to confirm the members
@@ -97,6 +99,7 @@
 			Self:    member.Member{Address: config.Address, Role: member.RoleBalancer},
 			Store:   config.Store,
 		}),
+		entryChecks:  make(chan struct{}, 1),
 		memberChecks: make(chan struct{}, 1),
 		meter:        newMeter(config.Stats),
 		peers:        newPeerSet(config.Address, config.Seeds),
@@ -142,6 +145,7 @@
 	go n.runTimers()
 	go n.runConfigWatch()
 	go n.runConfigCheck()
+	go n.runEntryChecks()
 	go n.runMembers()
 	n.config.Log.Info("Started.", logs.Fields{"address": n.config.Address.String()})
 	<-ctx.Done()
--- a/balancer/tuple/peers.go
+++ b/balancer/tuple/peers.go
@@ -80,6 +80,7 @@
 func (n *Node) digest(isReply bool) flows.Digest {
 	return flows.Digest{
 		AgentsHeard: n.isolation.agentsHeard(time.Now()),
+		Era:         n.eras.Latest(),
 		IsReply:     isReply,
 		MembersHash: n.director.Agents.Hash(),
 		Version:     n.director.Version(),
--- a/lib/flows/message.go
+++ b/lib/flows/message.go
@@ -39,6 +39,7 @@
 type Forward struct {
 	Datagram      []byte
 	Assigned      bool          // the new flow is queued by this agent, as others have longer queues
+	Era           uint64        // latest era of the store that the balancer knows
 	Final         bool          // the balancer refuses the new flow when the packet is returned, instead of trying other agents
 	LatencyTarget time.Duration // target latency of the route
 	Least         Endpoint      // agent in RejectedBy with the shortest queue, which queues the new flow; zero when none is known
@@ -52,6 +53,11 @@
 	Urgency       int           // urgency of the route, from -128 to 127
 }
 
+// Hello asks an agent for a report.
+type Hello struct {
+	Era uint64 // latest era of the store that the balancer knows
+}
+
 // Owner tells a balancer that the sending agent holds a flow.
 type Owner struct {
 	Flow Flow
@@ -122,6 +128,7 @@
 // Digest summarises a balancer's configuration and members for comparison by another one.
 type Digest struct {
 	AgentsHeard   bool   // the sender hears agents
+	Era           uint64 // latest era of the store that the sender knows
 	FromStore     bool   // the sender has just read the version from the store
 	IsReply       bool   // the digest replies to another one
 	MembersHash   uint64 // hash of the members' addresses
@@ -163,6 +170,7 @@
 	dst = binary.BigEndian.AppendUint16(dst, millisUint16(f.LeastLatency))
 	dst = appendList(dst, f.RejectedBy)
 	dst = appendList(dst, f.Next)
+	dst = binary.AppendUvarint(dst, f.Era)
 	return append(dst, f.Datagram...)
 }
 
@@ -184,6 +192,7 @@
 	f.LeastLatency = time.Duration(r.uint16()) * millisecond
 	f.RejectedBy = r.list()
 	f.Next = r.list()
+	f.Era = r.uvarint()
 	f.Datagram = r.rest
 	return !r.failed && len(f.Datagram) > 0
 }
@@ -250,8 +259,18 @@
 	return !r.failed && p.State <= StateLeft && p.Listing <= ListingAbsent
 }
 
-// AppendHello appends an encoded message of kind KindHello.
-func AppendHello(dst []byte) []byte { return append(dst, byte(KindHello)) }
+// Append appends the encoded message.
+func (h Hello) Append(dst []byte) []byte {
+	return binary.AppendUvarint(append(dst, byte(KindHello)), h.Era)
+}
+
+// Decode decodes the message and reports whether it is well-formed.
+func (h *Hello) Decode(message []byte) bool {
+	r := reader{rest: message}
+	r.byte()
+	h.Era = r.uvarint()
+	return !r.failed
+}
 
 // AppendJoin appends an encoded message of kind KindJoin.
 func AppendJoin(dst []byte) []byte { return append(dst, byte(KindJoin)) }
@@ -264,7 +283,8 @@
 		flagBit(d.ReplyRequired, digestReplyRequired)
 	dst = append(dst, byte(KindDigest), flags)
 	dst = binary.BigEndian.AppendUint64(dst, d.Version)
-	return binary.BigEndian.AppendUint64(dst, d.MembersHash)
+	dst = binary.BigEndian.AppendUint64(dst, d.MembersHash)
+	return binary.AppendUvarint(dst, d.Era)
 }
 
 // Decode decodes the message and reports whether it is well-formed.
@@ -278,6 +298,7 @@
 	d.ReplyRequired = flags&digestReplyRequired != 0
 	d.Version = r.uint64()
 	d.MembersHash = r.uint64()
+	d.Era = r.uvarint()
 	return !r.failed
 }
 
@@ -348,6 +369,16 @@
 	return 0
 }
 
+func (r *reader) uvarint() uint64 {
+	value, size := binary.Uvarint(r.rest)
+	if r.failed || size <= 0 {
+		r.failed = true
+		return 0
+	}
+	r.next(size)
+	return value
+}
+
 func (r *reader) endpoint() Endpoint {
 	b := r.next(endpointSize)
 	if b == nil {
--- a/lib/flows/message_test.go
+++ b/lib/flows/message_test.go
@@ -29,6 +29,7 @@
 			Least:         drawEndpoint(t),
 			LeastLatency:  time.Duration(rapid.IntRange(0, 65535).Draw(t, "least latency")) * time.Millisecond,
 			Datagram:      rapid.SliceOfN(rapid.Byte(), 1, 40).Draw(t, "datagram"),
+			Era:           rapid.Uint64().Draw(t, "era"),
 			Final:         rapid.Bool().Draw(t, "final"),
 			Next:          drawList(t),
 			Origin:        drawEndpoint(t),
@@ -62,11 +63,23 @@
 	g.Expect(got).To(gomega.Equal(sent))
 }
 
+func TestHelloRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sent := Hello{Era: rapid.Uint64().Draw(t, "era")}
+		var got Hello
+		message := sent.Append(nil)
+		if !got.Decode(message) || got != sent || got.Decode(message[:len(message)-1]) {
+			t.Fatalf("sent %+v, got %+v", sent, got)
+		}
+	})
+}
+
 func FuzzMessages(f *testing.F) {
 	f.Add((&Forward{Datagram: []byte{1}, Next: []Endpoint{testAddress}}).Append(nil, KindForward))
 	f.Add(Report{}.Append(nil))
 	f.Add(Owner{}.Append(nil))
 	f.Add(Digest{}.Append(nil))
+	f.Add(Hello{Era: 300}.Append(nil))
 	f.Fuzz(func(t *testing.T, message []byte) {
 		var forward Forward
 		if forward.Decode(message) && len(forward.Next) > maxAgentsPerMessage {
@@ -78,6 +91,8 @@
 		owner.Decode(message)
 		var digest Digest
 		digest.Decode(message)
+		var hello Hello
+		hello.Decode(message)
 	})
 }
 
@@ -85,6 +100,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		digest := Digest{
 			AgentsHeard:   rapid.Bool().Draw(t, "agentsHeard"),
+			Era:           rapid.Uint64().Draw(t, "era"),
 			FromStore:     rapid.Bool().Draw(t, "fromStore"),
 			IsReply:       rapid.Bool().Draw(t, "isReply"),
 			MembersHash:   rapid.Uint64().Draw(t, "membersHash"),
--- a/lib/member/directory.go
+++ b/lib/member/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -11,8 +12,12 @@
 	"github.com/cyclamendock/cyclamendock/lib/store"
 )
 
-// Prefix is the start of the keys of all members.
-const Prefix = "cyclamendock-members/"
+const (
+	// Prefix is the start of the keys of all members.
+	Prefix = "cyclamendock-members/"
+	// checksPerSecond limits the checks of entries by all members after the store has lost changes.
+	checksPerSecond = 2000
+)
 
 // Role tells whether a member is an agent or a balancer.
 type Role string
@@ -36,6 +41,12 @@
 	Store   store.Store
 }
 
+// CheckPause returns a random pause before a member checks its entry, so that the given number of members together stay
+// within what the store can read.
+func CheckPause(members int) time.Duration {
+	return time.Duration(rand.Float64() * float64(members) / checksPerSecond * float64(time.Second))
+}
+
 // Directory registers one process in the store and lists all members.
 type Directory struct {
 	config Config
@@ -48,7 +59,7 @@
 // that join at once at least one sees the other. With first set it registers the process without listing members before.
 func (d *Directory) Join(ctx context.Context, first bool) ([]Member, error) {
 	if first {
-		if err := d.register(ctx); err != nil {
+		if err := d.Register(ctx); err != nil {
 			return nil, err
 		}
 		return d.List(ctx)
@@ -57,7 +68,7 @@
 	if err != nil || contains(members, d.config.Self) {
 		return members, err
 	}
-	if err := d.register(ctx); err != nil {
+	if err := d.Register(ctx); err != nil {
 		return nil, err
 	}
 	return d.List(ctx)
@@ -92,8 +103,21 @@
 	return d.config.Store.Delete(ctx, key(address))
 }
 
-// register stores the entry of the process, replacing an older entry with the same address.
-func (d *Directory) register(ctx context.Context) error {
+// HasEntry reports whether the store has the entry of the process, or returns an Unavailable fault.
+func (d *Directory) HasEntry(ctx context.Context) (bool, error) {
+	object, err := d.config.Store.Get(ctx, key(d.config.Self.Address))
+	if fault.Is(err, fault.Missing) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	existing, ok := decode(object.Value)
+	return ok && existing == d.config.Self, nil
+}
+
+// Register stores the entry of the process, replacing an older entry with the same address, or returns an Unavailable fault.
+func (d *Directory) Register(ctx context.Context) error {
 	value, err := json.Marshal(storedMember{Address: d.config.Self.Address.String(), Role: string(d.config.Self.Role)})
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "the member can't be encoded", "report this")
--- a/lib/member/directory_test.go
+++ b/lib/member/directory_test.go
@@ -116,3 +116,18 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(members).To(gomega.ConsistOf(balancer))
 }
+
+func TestMemberFindsThatItsEntryWasLost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx := context.Background()
+	shared := store.NewMemory()
+	backup := shared.Backup()
+	directory, _ := newTestDirectory(shared, agent)
+	_, err := directory.Join(ctx, true)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(directory.HasEntry(ctx)).To(gomega.BeTrue())
+	shared.Restore(backup)
+	g.Expect(directory.HasEntry(ctx)).To(gomega.BeFalse())
+	g.Expect(directory.Register(ctx)).To(gomega.Succeed())
+	g.Expect(directory.HasEntry(ctx)).To(gomega.BeTrue())
+}
--- a/lib/snap/archive.go
+++ b/lib/snap/archive.go
@@ -30,6 +30,9 @@
 	return &Archive{key: prefix + store.AddressName(agent), store: s}
 }
 
+// Era returns the era of the store in which the snapshot was last read or written; zero when there is none.
+func (a *Archive) Era() uint64 { return a.version.Era }
+
 // Load returns the stored snapshot, which is empty when there is none or an unreadable one, or an Unavailable fault.
 func (a *Archive) Load(ctx context.Context) (flows.Snapshot, error) {
 	object, err := a.store.Get(ctx, a.key)
