Ask the backend server's port, not the list, whether an agent may hold flows

After all processes were killed and the store had lost an agent's entry, open flows of a living backend server were not found again and timed out.

Cause: an agent that restarts and is not on the list of members concluded that its backend server holds no earlier flows, said so in its reports, and waited for the next announcement before it joined. The conclusion holds only while acknowledged entries never vanish. Class: absence from a store that may lose changes is taken for a fact.

Fix: the agent probes its backend server's port before it reads the list. Only a closed port shows that there are no earlier flows; while one listens, the agent joins at once and knows that it doesn't know all flows. KnowAllFlows goes, as a closed port does the same.

--- a/agent/tuple/members.go
+++ b/agent/tuple/members.go
@@ -71,8 +71,8 @@
 	return snap.NewArchive(n.config.Store, n.config.Address).Remove(ctx)
 }
 
-// joinAtStart joins at once on the first start of the system, if this agent is listed, or if the list can't be read in
-// time. An agent that is not listed has no backend server with earlier flows, so it joins only after the first
+// joinAtStart joins at once on the first start of the system, if a backend server may run here, or if the list can't be read
+// in time. Without a backend server there are no earlier flows, so an agent that is not listed joins only after the first
 // announcement: if it were listed and its host failed before a backend server had run there, balancers would wait for
 // its answer about every flow.
 func (n *Node) joinAtStart() {
@@ -80,7 +80,8 @@
 		n.join(true)
 		return
 	}
-	n.requestProbe()
+	n.probeServerPort()
+	serverRuns := !n.serverClosed()
 	ctx, cancel := context.WithTimeout(n.ctx, startListTimeout)
 	members, err := n.directory.List(ctx)
 	cancel()
@@ -91,17 +92,24 @@
 	case n.directory.ContainsSelf(members):
 		n.addSubscribers(n.config.Seeds)
 		n.finishJoin(members)
+	case serverRuns:
+		n.config.Log.Info("A backend server runs, but this agent is not listed.", logs.Fields{"members": len(members)})
+		n.join(true)
 	default:
 		n.config.Log.Info("Waiting for a backend server before joining.", logs.Fields{"members": len(members)})
-		n.mu.Lock()
-		n.dispatcher.KnowAllFlows()
-		n.dispatcher.SetListing(flows.ListingAbsent)
-		n.mu.Unlock()
+		n.setListing(flows.ListingAbsent)
 		n.waitForServer()
 		n.join(true)
 	}
 }
 
+// serverClosed reports whether no backend server runs at this agent's address.
+func (n *Node) serverClosed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.server.Closed()
+}
+
 // waitForServer waits until a backend server that runs now has announced itself, or the context ends.
 func (n *Node) waitForServer() {
 	for n.ctx.Err() == nil && !n.hasServer() {
--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -246,9 +246,6 @@
 	return d.subscribers.DueReports(now, changed)
 }
 
-// KnowAllFlows records that the backend server held no flows before this process started.
-func (d *Dispatcher) KnowAllFlows() { d.held.knownFrom = time.Time{} }
-
 // TakeAddressAdded reports whether the backend server has got its first flow of a service address since the last call.
 // Balancers should be told at once: they don't look for flows of other addresses here.
 func (d *Dispatcher) TakeAddressAdded() bool { return d.held.takeAdded() }
--- a/standin/tuple/backend.go
+++ b/standin/tuple/backend.go
@@ -41,6 +41,7 @@
 	Runs           map[string]int // number of times each request was started, by request ID
 	sequence       int            // number of the last announcement
 	startedMS      int64          // start time in Unix milliseconds
+	silent         bool           // it announces itself no more
 	state          string         // announced state
 	stop           chan struct{}
 	stopOnce       sync.Once // guards the closing of stop
@@ -93,6 +94,13 @@
 	b.state = "draining"
 }
 
+// StopAnnouncing makes the backend server announce itself no more while it goes on serving.
+func (b *Backend) StopAnnouncing() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.silent = true
+}
+
 // Crash stops the backend server without an announcement and without a packet that ends its flows.
 func (b *Backend) Crash() {
 	b.stopOnce.Do(func() { close(b.stop) })
@@ -259,6 +267,10 @@
 	client := http.Client{Timeout: announceTimeout}
 	for {
 		b.mu.Lock()
+		if b.silent {
+			b.mu.Unlock()
+			return
+		}
 		b.sequence++
 		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","concurrency":%d,"state":%q,"warmup_left_ms":0,"sequence":%d,"born":%d}`,
 			b.config.Service, b.config.Inlet, b.config.Slots, b.state, b.sequence, b.startedMS)
--- a/standin/tuple/restore_test.go
+++ b/standin/tuple/restore_test.go
@@ -86,23 +86,63 @@
 	}
 }
 
-// An agent whose entry was lost with the store's latest changes restarts, and so do all balancers; its flows live on.
-func TestFlowsOfRestartedAgentWhoseEntryWasLostAreNotReset(t *testing.T) {
-	g := gomega.NewWithT(t)
-	c := startTestCluster(t, 126)
-	flows := openFlows(g, c, "unlisted", 20)
-	empty := NewObjectStore().Backup()
+// restartAllWithoutEntries kills all processes, restores a store in which none of them has an entry, calls beforeStart, and
+// starts the processes again.
+func restartAllWithoutEntries(g *gomega.WithT, c *Cluster, beforeStart func()) {
 	for _, process := range c.processes {
 		process.Signal(syscall.SIGKILL)
 		g.Expect(process.WaitExit(requestTimeout)).To(gomega.BeTrue())
 	}
-	restoreAfterOutage(c, empty)
+	restoreAfterOutage(c, NewObjectStore().Backup())
 	c.SetConfig(1)
+	beforeStart()
 	for name := range c.processes {
 		g.Expect(c.Restart(name)).To(gomega.Succeed())
 	}
+}
+
+// An agent whose entry was lost with the store's latest changes restarts, and so do all balancers; its flows live on.
+func TestFlowsOfRestartedAgentWhoseEntryWasLostAreNotReset(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := startTestCluster(t, 126)
+	flows := openFlows(g, c, "unlisted", 20)
+	restartAllWithoutEntries(g, c, func() {})
 	for _, err := range getAll(flows, "unlisted-restarted", 3000) {
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 	}
 	checkBackends(g, c)
 }
+
+// A restarted agent without an entry registers at once while a backend server runs, since that may hold flows.
+func TestRestartedAgentWithoutEntryDoesNotDisownTheFlowsOfItsBackendServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := startTestCluster(t, 123)
+	flows := openFlows(g, c, "disowned", 20)
+	restartAllWithoutEntries(g, c, func() {
+		for _, backend := range c.Backends {
+			backend.StopAnnouncing()
+		}
+	})
+	for _, err := range getAll(flows, "disowned-restarted", 3000) {
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	checkBackends(g, c)
+}
+
+// Balancers that start after the store has lost entries take no list for complete until agents have had time to register.
+func TestFlowsAreNotResetWhileAgentsRegisterAfterTheStoreIsRestored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := startTestCluster(t, 122)
+	flows := openFlows(g, c, "late-entries", 20)
+	restartAllWithoutEntries(g, c, func() {
+		for i := range c.Backends {
+			proxy := c.proxies[fmt.Sprintf("agent-%d", i)]
+			proxy.SetFault(FaultReset)
+			time.AfterFunc(time.Second, func() { proxy.SetFault(FaultNone) })
+		}
+	})
+	for _, err := range getAll(flows, "late-entries-restarted", 3000) {
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	checkBackends(g, c)
+}
