Let no list of members prove the end of a flow until entries had time to return

After all processes were killed and the store had lost their entries, balancers read a list without the agents that were still registering, and reset open flows of living backend servers.

Cause: the proof rests on "every agent that has flows is on the list", which a restore breaks; a balancer that has just started can't know that there was one. Class: a list of a later history is taken for one of the history in which the flow was placed.

Fix: the list itself says in which era it is complete, by a marker among the members. A balancer that has known the store's era for 3 s (the time that agents may take to register) writes it, usually the one that reads the configuration, otherwise one that needs it; a restore takes the marker back or leaves one of an earlier era. Without a marker of the era of the read, pending resets wait. Weighed: a time in each balancer's memory (lost with a restart), the time left in digests (nobody knows it after a loss of power), the era in each entry (a write for each process instead of a read, 8 s at the target size), no proofs for 3 s after each start (costs callers after each loss of power). Chosen: one write an era, no call more for readers.

--- a/agent/tuple/members.go
+++ b/agent/tuple/members.go
@@ -83,20 +83,20 @@
 	n.probeServerPort()
 	serverRuns := !n.serverClosed()
 	ctx, cancel := context.WithTimeout(n.ctx, startListTimeout)
-	members, err := n.directory.List(ctx)
+	list, err := n.directory.List(ctx)
 	cancel()
 	switch {
 	case err != nil:
 		n.config.Log.Warn("The member list can't be read in time.", logs.Fields{"error": err.Error()})
 		n.join(false)
-	case n.directory.ContainsSelf(members):
+	case n.directory.ContainsSelf(list):
 		n.addSubscribers(n.config.Seeds)
-		n.finishJoin(members)
+		n.finishJoin(list)
 	case serverRuns:
-		n.config.Log.Info("A backend server runs, but this agent is not listed.", logs.Fields{"members": len(members)})
+		n.config.Log.Info("A backend server runs, but this agent is not listed.", logs.Fields{"members": len(list.Members)})
 		n.join(true)
 	default:
-		n.config.Log.Info("Waiting for a backend server before joining.", logs.Fields{"members": len(members)})
+		n.config.Log.Info("Waiting for a backend server before joining.", logs.Fields{"members": len(list.Members)})
 		n.setListing(flows.ListingAbsent)
 		n.waitForServer()
 		n.join(true)
@@ -132,11 +132,11 @@
 func (n *Node) join(first bool) {
 	netio.Retry(n.ctx, func() error {
 		n.addSubscribers(n.config.Seeds)
-		members, err := n.directory.Join(n.ctx, first)
+		list, err := n.directory.Join(n.ctx, first)
 		if err != nil {
 			return err
 		}
-		n.finishJoin(members)
+		n.finishJoin(list)
 		return nil
 	}, func(err error) {
 		n.config.Log.Warn("This agent can't join.", logs.Fields{"error": err.Error()})
@@ -144,16 +144,16 @@
 }
 
 // finishJoin subscribes the listed balancers to reports.
-func (n *Node) finishJoin(members []member.Member) {
-	n.config.Log.Info("Joined.", logs.Fields{"members": len(members)})
+func (n *Node) finishJoin(list member.List) {
+	n.config.Log.Info("Joined.", logs.Fields{"members": len(list.Members)})
 	var balancers []netip.AddrPort
-	for _, m := range members {
+	for _, m := range list.Members {
 		if m.Role == member.RoleBalancer {
 			balancers = append(balancers, m.Address)
 		}
 	}
 	n.mu.Lock()
-	n.agentCount = len(members) - len(balancers)
+	n.agentCount = len(list.Members) - len(balancers)
 	n.dispatcher.SetListing(flows.ListingConfirmed)
 	n.mu.Unlock()
 	n.addSubscribers(balancers)
--- a/agent/tuple/restore.go
+++ b/agent/tuple/restore.go
@@ -1,6 +1,8 @@
 package tuple
 
 import (
+	"time"
+
 	"github.com/cyclamendock/cyclamendock/lib/flows"
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/member"
@@ -10,7 +12,7 @@
 // recordEra records an era of the store that the store or a balancer has stated. After a rise this agent's entry among the
 // members is checked, and its snapshot is stored again.
 func (n *Node) recordEra(era uint64) {
-	if !n.eras.Record(era) {
+	if !n.eras.Record(time.Now(), era) {
 		return
 	}
 	n.config.Log.Warn("The entry and the snapshot of this agent may be lost.", logs.Fields{"era": era})
--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -61,6 +61,9 @@
 	removed := n.director.Agents.ForgetSilent(now)
 	isReader := n.configReads.isReader()
 	n.mu.Unlock()
+	if isReader && n.markDue(now) {
+		go n.runMarkComplete()
+	}
 	n.logNewAgents()
 	for _, agent := range removed {
 		n.config.Log.Info("A silent agent was removed.", logs.Fields{"agent": agent.String()})
--- a/balancer/tuple/members.go
+++ b/balancer/tuple/members.go
@@ -26,6 +26,7 @@
 type MemberList struct {
 	Agents    []string // addresses
 	Balancers []string // addresses
+	Complete  bool     // see member.List
 	Era       uint64   // latest era that the store has stated
 }
 
@@ -33,12 +34,13 @@
 func (h *RPCHandler) Members(_ MembersRequest, list *MemberList) error {
 	ctx, cancel := context.WithTimeout(h.node.ctx, membersTimeout)
 	defer cancel()
-	members, err := h.node.memberReads.get(ctx)
+	read, err := h.node.memberReads.get(ctx)
 	if err != nil {
 		return err
 	}
+	list.Complete = read.Complete
 	list.Era = h.node.config.Store.Era()
-	for _, m := range members {
+	for _, m := range read.Members {
 		switch m.Role {
 		case member.RoleAgent:
 			list.Agents = append(list.Agents, m.Address.String())
@@ -52,43 +54,43 @@
 // readMembers returns a list of members that is read from the store after the call. The balancer that reads the
 // configuration for the others reads it, so that resets at many balancers at once cost few reads; when that one can't,
 // this balancer reads the list itself.
-func (n *Node) readMembers() ([]member.Member, error) {
+func (n *Node) readMembers() (member.List, error) {
 	n.mu.Lock()
 	reader, isReader := n.configReads.reader, n.configReads.isReader()
 	n.mu.Unlock()
 	if reader.IsValid() && !isReader {
-		members, err := n.requestMembers(reader)
+		list, err := n.requestMembers(reader)
 		if err == nil {
-			return members, nil
+			return list, nil
 		}
 		n.mu.Lock()
 		n.configReads.forgetReader(reader)
 		n.mu.Unlock()
 		n.config.Log.Warn("Another balancer can't read the members.", logs.Fields{"balancer": reader.String(), "error": err.Error()})
 	}
-	members, err := n.memberReads.get(n.ctx)
+	list, err := n.memberReads.get(n.ctx)
 	n.recordEra(n.config.Store.Era())
-	return members, err
+	return list, err
 }
 
 // requestMembers asks another balancer to read the list of members.
-func (n *Node) requestMembers(reader netip.AddrPort) ([]member.Member, error) {
+func (n *Node) requestMembers(reader netip.AddrPort) (member.List, error) {
 	ctx, cancel := context.WithTimeout(n.ctx, membersTimeout)
 	defer cancel()
-	var list MemberList
-	if err := n.client.Call(ctx, reader, methodMembers, MembersRequest{}, &list); err != nil {
-		return nil, err
+	var answer MemberList
+	if err := n.client.Call(ctx, reader, methodMembers, MembersRequest{}, &answer); err != nil {
+		return member.List{}, err
 	}
+	n.recordEra(answer.Era)
 	now := time.Now()
-	n.recordEra(list.Era)
-	var members []member.Member
-	for _, address := range n.parseAddresses(now, list.Agents) {
-		members = append(members, member.Member{Address: address, Role: member.RoleAgent})
+	list := member.List{Complete: answer.Complete && answer.Era == n.eras.Latest()}
+	for _, address := range n.parseAddresses(now, answer.Agents) {
+		list.Members = append(list.Members, member.Member{Address: address, Role: member.RoleAgent})
 	}
-	for _, address := range n.parseAddresses(now, list.Balancers) {
-		members = append(members, member.Member{Address: address, Role: member.RoleBalancer})
+	for _, address := range n.parseAddresses(now, answer.Balancers) {
+		list.Members = append(list.Members, member.Member{Address: address, Role: member.RoleBalancer})
 	}
-	return members, nil
+	return list, nil
 }
 
 // runMembers registers this balancer as a member, then confirms the member list whenever resets of flows are
@@ -108,30 +110,35 @@
 func (n *Node) join() {
 	netio.Retry(n.ctx, func() error {
 		requestedAt := time.Now()
-		members, err := n.directory.Join(n.ctx, n.config.FirstStart)
+		list, err := n.directory.Join(n.ctx, n.config.FirstStart)
 		if err != nil {
 			return err
 		}
-		n.mergeMemberList(requestedAt, members)
-		n.config.Log.Info("Joined.", logs.Fields{"members": len(members)})
+		n.mergeMemberList(requestedAt, list)
+		n.config.Log.Info("Joined.", logs.Fields{"members": len(list.Members)})
 		n.requestDigests(sample(n.allPeers()))
 		return nil
 	}, func(err error) { n.handleStoreError("This balancer can't join.", err) })
 }
 
 // resetEndedFlows resets the flows that no member can hold. The list of members must be read from the store after the
-// flow was sought: every agent that has flows is on it.
+// flow was sought: every agent that has flows is on it if it is complete.
 func (n *Node) resetEndedFlows() {
 	n.awaitSettled()
 	requestedAt := time.Now()
-	members, err := n.readMembers()
+	list, err := n.readMembers()
 	if err != nil {
 		n.handleStoreError("The members can't be read.", err)
 		netio.Sleep(n.ctx, netio.MinRetryPause)
 		n.requestMemberCheck()
 		return
 	}
-	n.mergeMemberList(requestedAt, members)
+	n.mergeMemberList(requestedAt, list)
+	if !list.Complete {
+		n.awaitComplete()
+		n.requestMemberCheck()
+		return
+	}
 	out := n.newSender(timerBatch)
 	now := time.Now()
 	n.mu.Lock()
@@ -158,11 +165,14 @@
 
 // mergeMemberList adds the members of a list that was requested at the given time, and asks agents that report but are
 // missing from the list to join again.
-func (n *Node) mergeMemberList(requestedAt time.Time, members []member.Member) {
+func (n *Node) mergeMemberList(requestedAt time.Time, list member.List) {
 	now := time.Now()
+	if list.Complete {
+		n.markedEra.Store(int64(n.eras.Latest()))
+	}
 	var listed []flows.Endpoint
 	n.mu.Lock()
-	for _, m := range members {
+	for _, m := range list.Members {
 		switch m.Role {
 		case member.RoleAgent:
 			listed = append(listed, flows.EndpointOf(m.Address))
--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -64,9 +64,10 @@
 	front        *udpio.Socket
 	isolation    isolation
 	memberChecks chan struct{} // wakes runMembers to confirm the members
-	memberReads  *sharedRead[[]member.Member]
+	memberReads  *sharedRead[member.List]
 	meter        *meter
-	mu           sync.Mutex // guards configReads, director, isolation, meter.notForwarded, newAgents, peers, pulling and rawConfig
+	mu           sync.Mutex   // guards configReads, director, isolation, meter.notForwarded, newAgents, peers, pulling and rawConfig
+	markedEra    atomic.Int64 // latest era in which the list of members is known to be marked as complete, or unmarked
 	newAgents    newAgents
 	peers        *peerSet
 	pulling      bool   // a pull from another balancer is in progress
@@ -105,6 +106,7 @@
 		peers:        newPeerSet(config.Address, config.Seeds),
 		stop:         stop,
 	}
+	n.markedEra.Store(unmarked)
 	n.memberReads = newSharedRead(ctx, listPause, n.directory.List)
 	n.registerGauges(config.Stats)
 	return n, n.open()
