Keep the entry of a process by one guard, and let only the store's word decide

Cause of the change: the era that other processes state was believed at once. One wrong statement would have let no list of members ever be complete again; and the check of the own entry stood in the agent and in the balancer.

Change: member.EntryGuard tracks the eras, asks the store once when another process states a later one, and registers the process again. What it learns from the store ends silent watches too, so balancers need no extra reads of the configuration.

Tests: TestLostEntryIsStoredAgainOnceTheStoreStatesALaterEra, TestLostEntryIsStoredAgainOnceAnotherProcessStatesALaterEra, TestWrongStatementOfALaterEraChangesNothing; lib/member, lib/store, lib/flows, platform, balancer/tuple and standin/tuple pass.

--- a/agent/tuple/members.go
+++ b/agent/tuple/members.go
@@ -30,8 +30,8 @@
 	var pauseEnd <-chan time.Time
 	for n.ctx.Err() == nil {
 		select {
-		case <-n.entryChecks:
-			n.checkEntry()
+		case <-n.guard.Due():
+			n.guard.Check(n.ctx)
 		case <-joinRequested:
 			n.setListing(flows.ListingAbsent)
 			n.join(false)
@@ -177,6 +177,22 @@
 	n.dispatcher.SetListing(listing)
 }
 
+// setListed sets what reports say about this agent's entry, which it has found lost or stored again.
+func (n *Node) setListed(listed bool) {
+	if listed {
+		n.setListing(flows.ListingConfirmed)
+	} else {
+		n.setListing(flows.ListingAbsent)
+	}
+}
+
+// knownAgents returns the number of agents on the last list of members that this agent has read.
+func (n *Node) knownAgents() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.agentCount
+}
+
 // notifyServerChanged wakes waitForServer.
 func (n *Node) notifyServerChanged() {
 	select {
--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -61,8 +61,7 @@
 	ctx             context.Context
 	directory       *member.Directory
 	dispatcher      *flows.Dispatcher
-	entryChecks     chan struct{} // wakes runMembers to check this agent's entry among the members
-	eras            store.Eras    // as stated by the store and by balancers
+	guard           *member.EntryGuard
 	inlet           *net.UDPConn  // connected to the backend server's address
 	joinRequested   chan struct{} // wakes runMembers to join the member list again
 	leaveRequested  chan struct{} // wakes runMembers after the backend server has ended for good
@@ -106,7 +105,6 @@
 			Service:      flows.HashName(config.Service),
 			Zone:         flows.HashName(config.Zone),
 		}),
-		entryChecks:     make(chan struct{}, 1),
 		joinRequested:   make(chan struct{}, 1),
 		leaveRequested:  make(chan struct{}, 1),
 		meter:           newMeter(config.Stats),
@@ -117,6 +115,13 @@
 		serverChanged:   make(chan struct{}, 1),
 		stop:            stop,
 	}
+	n.guard = member.NewEntryGuard(member.EntryGuardConfig{
+		Directory: n.directory,
+		Log:       config.Log,
+		Members:   n.knownAgents,
+		SetListed: n.setListed,
+		Store:     config.Store,
+	})
 	n.dispatcher.SetListing(startListing(config.FirstStart))
 	n.registerGauges(config.Stats)
 	return n, n.open()
--- a/agent/tuple/snapshots.go
+++ b/agent/tuple/snapshots.go
@@ -28,7 +28,7 @@
 		n.mu.Lock()
 		snapshot := n.dispatcher.Snapshot(time.Now())
 		n.mu.Unlock()
-		if n.archive.Era() < n.eras.Latest() {
+		if n.archive.Era() < n.guard.Era() {
 			stored = flows.Snapshot{} // the store may have lost it
 		}
 		if snapshot.StartMillis == 0 || !stored.Outdated(snapshot) {
--- a/agent/tuple/timers.go
+++ b/agent/tuple/timers.go
@@ -34,7 +34,7 @@
 		case <-ticks:
 			n.releaseWaiting(out)
 		case now := <-sweeps:
-			n.recordEra(n.config.Store.Era())
+			n.guard.Poll(now)
 			n.mu.Lock()
 			n.dispatcher.Sweep(now)
 			overdue := n.server.Overdue(now)
--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -95,7 +95,7 @@
 	for i := range verdicts {
 		n.execute(now, out, &verdicts[i], verdicts[i].Forward.Datagram)
 	}
-	hello := flows.Hello{Era: n.eras.Latest()}
+	hello := flows.Hello{Era: n.guard.Era()}
 	for _, agent := range hellos {
 		out.QueueMessage(hello.Append, agent)
 	}
@@ -140,7 +140,7 @@
 	for {
 		select {
 		case now := <-ticks:
-			n.recordEra(n.config.Store.Era())
+			n.pollEra(now)
 			if n.configCheckDue(now) {
 				n.checkConfig()
 			}
@@ -153,7 +153,7 @@
 func (n *Node) configCheckDue(now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.director.Version() > 0 && (n.configReads.due(now) || n.missesEra())
+	return n.director.Version() > 0 && n.configReads.due(now)
 }
 
 // checkConfig reads and applies the configuration and sends all balancers digests that state that it was read.
--- a/balancer/tuple/isolation.go
+++ b/balancer/tuple/isolation.go
@@ -73,7 +73,7 @@
 	}
 	n.mu.Unlock()
 	n.requestDigests(asked)
-	hello := flows.Hello{Era: n.eras.Latest()}.Append(nil)
+	hello := flows.Hello{Era: n.guard.Era()}.Append(nil)
 	for _, agent := range agents {
 		n.socket.Send(hello, agent.AddrPort())
 	}
--- a/balancer/tuple/members.go
+++ b/balancer/tuple/members.go
@@ -27,7 +27,6 @@
 	Agents    []string // addresses
 	Balancers []string // addresses
 	Complete  bool     // see member.List
-	Era       uint64   // latest era that the store has stated
 }
 
 // Members reads the list of members from the store, with one read for all balancers that ask at about the same time.
@@ -39,7 +38,6 @@
 		return err
 	}
 	list.Complete = read.Complete
-	list.Era = h.node.config.Store.Era()
 	for _, m := range read.Members {
 		switch m.Role {
 		case member.RoleAgent:
@@ -68,9 +66,7 @@
 		n.mu.Unlock()
 		n.config.Log.Warn("Another balancer can't read the members.", logs.Fields{"balancer": reader.String(), "error": err.Error()})
 	}
-	list, err := n.memberReads.get(n.ctx)
-	n.recordEra(n.config.Store.Era())
-	return list, err
+	return n.memberReads.get(n.ctx)
 }
 
 // requestMembers asks another balancer to read the list of members.
@@ -81,9 +77,8 @@
 	if err := n.client.Call(ctx, reader, methodMembers, MembersRequest{}, &answer); err != nil {
 		return member.List{}, err
 	}
-	n.recordEra(answer.Era)
 	now := time.Now()
-	list := member.List{Complete: answer.Complete && answer.Era == n.eras.Latest()}
+	list := member.List{Complete: answer.Complete}
 	for _, address := range n.parseAddresses(now, answer.Agents) {
 		list.Members = append(list.Members, member.Member{Address: address, Role: member.RoleAgent})
 	}
@@ -167,9 +162,6 @@
 // missing from the list to join again.
 func (n *Node) mergeMemberList(requestedAt time.Time, list member.List) {
 	now := time.Now()
-	if list.Complete {
-		n.markedEra.Store(int64(n.eras.Latest()))
-	}
 	var listed []flows.Endpoint
 	n.mu.Lock()
 	for _, m := range list.Members {
--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -59,15 +59,14 @@
 	cutOff       atomic.Bool // see isolation
 	director     *flows.Director
 	directory    *member.Directory
-	entryChecks  chan struct{} // wakes runEntryChecks to check this balancer's entry among the members
-	eras         store.Eras    // as stated by the store and by other balancers
 	front        *udpio.Socket
+	guard        *member.EntryGuard
 	isolation    isolation
 	memberChecks chan struct{} // wakes runMembers to confirm the members
 	memberReads  *sharedRead[member.List]
 	meter        *meter
 	mu           sync.Mutex   // guards configReads, director, isolation, meter.notForwarded, newAgents, peers, pulling and rawConfig
-	markedEra    atomic.Int64 // latest era in which the list of members is known to be marked as complete, or unmarked
+	markedEra    atomic.Int64 // latest era in which this balancer has marked the list of members as complete, or unmarked
 	newAgents    newAgents
 	peers        *peerSet
 	pulling      bool   // a pull from another balancer is in progress
@@ -100,12 +99,17 @@
 			Self:    member.Member{Address: config.Address, Role: member.RoleBalancer},
 			Store:   config.Store,
 		}),
-		entryChecks:  make(chan struct{}, 1),
 		memberChecks: make(chan struct{}, 1),
 		meter:        newMeter(config.Stats),
 		peers:        newPeerSet(config.Address, config.Seeds),
 		stop:         stop,
 	}
+	n.guard = member.NewEntryGuard(member.EntryGuardConfig{
+		Directory: n.directory,
+		Log:       config.Log,
+		Members:   n.memberCount,
+		Store:     config.Store,
+	})
 	n.markedEra.Store(unmarked)
 	n.memberReads = newSharedRead(ctx, listPause, n.directory.List)
 	n.registerGauges(config.Stats)
--- a/balancer/tuple/packets.go
+++ b/balancer/tuple/packets.go
@@ -13,7 +13,7 @@
 	switch verdict.Action {
 	case flows.ActForward:
 		verdict.Forward.Datagram = datagram
-		verdict.Forward.Era = n.eras.Latest()
+		verdict.Forward.Era = n.guard.Era()
 		verdict.Send(func(forward *flows.Forward, agent flows.Endpoint) {
 			out.QueueForward(forward, flows.KindForward, agent)
 		})
--- a/balancer/tuple/peers.go
+++ b/balancer/tuple/peers.go
@@ -80,7 +80,7 @@
 func (n *Node) digest(isReply bool) flows.Digest {
 	return flows.Digest{
 		AgentsHeard: n.isolation.agentsHeard(time.Now()),
-		Era:         n.eras.Latest(),
+		Era:         n.guard.Era(),
 		IsReply:     isReply,
 		MembersHash: n.director.Agents.Hash(),
 		Version:     n.director.Version(),
--- a/balancer/tuple/status.go
+++ b/balancer/tuple/status.go
@@ -32,8 +32,10 @@
 	Agents      []AgentStatus
 	Balancers   []string
 	ConfigAgeMS int64 // milliseconds since any balancer read the configuration from the store
+	EraAgeMS    int64 // milliseconds since this balancer has known StoreEra
 	Hints       int   // flows whose agent is remembered
 	Ready       bool
+	StoreEra    uint64 // rises when the store loses its latest changes
 	Version     uint64 // version of the configuration
 	Waiting     int    // flows that wait for an agent
 }
@@ -59,6 +61,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	status.ConfigAgeMS = now.Sub(n.configReads.lastRead).Milliseconds()
+	status.EraAgeMS = n.guard.EraAge(now).Milliseconds()
+	status.StoreEra = n.guard.Era()
 	status.Hints = n.director.HintCount()
 	status.Ready = !n.shuttingDown.Load() && n.director.Ready()
 	status.Version = n.director.Version()
--- a/balancer/tuple/sync.go
+++ b/balancer/tuple/sync.go
@@ -56,7 +56,7 @@
 	if !theirs.Decode(message) {
 		return false
 	}
-	n.recordEra(theirs.Era)
+	n.guard.RecordStated(theirs.Era)
 	n.mu.Lock()
 	n.peers.markSeen(now, from)
 	n.isolation.recordAnswer(from, theirs.AgentsHeard)
--- a/lib/flows/agents.go
+++ b/lib/flows/agents.go
@@ -330,6 +330,9 @@
 // Hash returns a hash of the addresses of all agents, which is the same in every process.
 func (a *Agents) Hash() uint64 { return a.hash }
 
+// Len returns the number of agents.
+func (a *Agents) Len() int { return len(a.byAddress) }
+
 // ReportedCount returns the number of agents that have ever reported.
 func (a *Agents) ReportedCount() int {
 	count := 0
--- a/lib/member/directory.go
+++ b/lib/member/directory.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -16,8 +15,6 @@
 const (
 	// Prefix is the start of the keys of all members.
 	Prefix = "cyclamendock-members/"
-	// checksPerSecond limits the checks of entries by all members after the store has lost changes.
-	checksPerSecond = 2000
 	// markerName is the name of the object that states in which era of the store the list is complete.
 	markerName = "complete"
 )
@@ -50,12 +47,6 @@
 	Store   store.Store
 }
 
-// CheckPause returns a random pause before a member checks its entry, so that the given number of members together stay
-// within what the store can read.
-func CheckPause(members int) time.Duration {
-	return time.Duration(rand.Float64() * float64(members) / checksPerSecond * float64(time.Second))
-}
-
 // Directory registers one process in the store and lists all members.
 type Directory struct {
 	config Config
--- /dev/null
+++ b/lib/member/entryguard.go
@@ -0,0 +1,130 @@
+package member
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/logs"
+	"github.com/cyclamendock/cyclamendock/lib/netio"
+	"github.com/cyclamendock/cyclamendock/lib/store"
+)
+
+// checksPerSecond limits the checks of entries by all members after the store has lost changes.
+const checksPerSecond = 2000
+
+// EntryGuardConfig configures an EntryGuard.
+type EntryGuardConfig struct {
+	Directory *Directory
+	Log       *logs.Logger
+	Members   func() int        // number of members, as far as known
+	SetListed func(listed bool) // called when the entry was found lost, and when it is stored again; may be nil
+	Store     store.Store
+}
+
+// EntryGuard stores the entry of a process again after the store has lost it with its latest changes. Only the store's own
+// answers show that it has; what other processes state makes the guard ask the store.
+type EntryGuard struct {
+	checkedEra uint64 // era of the store at the last check
+	config     EntryGuardConfig
+	due        chan struct{}
+	eras       store.Eras
+	mu         sync.Mutex // guards checkedEra and statedEra
+	statedEra  uint64     // latest era that another process has stated
+}
+
+// NewEntryGuard returns the guard of a process's entry.
+func NewEntryGuard(config EntryGuardConfig) *EntryGuard {
+	return &EntryGuard{config: config, due: make(chan struct{}, 1)}
+}
+
+// Due returns a channel that holds an element when Check is due.
+func (g *EntryGuard) Due() <-chan struct{} { return g.due }
+
+// Era returns the latest era that the store has stated; zero while none is known.
+func (g *EntryGuard) Era() uint64 { return g.eras.Latest() }
+
+// EraAge returns for how long the latest era has been known.
+func (g *EntryGuard) EraAge(now time.Time) time.Duration { return g.eras.Age(now) }
+
+// Poll records the era that the store has stated last, and reports whether the store has lost changes since the last call.
+func (g *EntryGuard) Poll(now time.Time) bool {
+	era := g.config.Store.Era()
+	if !g.eras.Record(now, era) {
+		return false
+	}
+	g.config.Log.Warn("Entries and snapshots may be lost.", logs.Fields{"era": era})
+	g.request()
+	return true
+}
+
+// RecordStated records an era that another process has stated. If it is later than what the store has stated here, a check
+// becomes due, which asks the store.
+func (g *EntryGuard) RecordStated(era uint64) {
+	g.mu.Lock()
+	news := era > g.statedEra && era > g.config.Store.Era()
+	g.statedEra = max(g.statedEra, era)
+	g.mu.Unlock()
+	if news {
+		g.request()
+	}
+}
+
+// Check reads the entry of the process, at a random moment so that all members together stay within what the store can read,
+// and registers the process again if the entry is missing. It retries until that succeeds or the context ends.
+func (g *EntryGuard) Check(ctx context.Context) {
+	if g.isChecked() {
+		return
+	}
+	netio.Sleep(ctx, checkPause(g.config.Members()))
+	netio.Retry(ctx, func() error { return g.restoreEntry(ctx) }, func(err error) {
+		g.config.Log.Warn("The entry of this process can't be checked.", logs.Fields{"error": err.Error()})
+	})
+}
+
+// isChecked reports whether the entry was checked in the latest era that the store or another process has stated.
+func (g *EntryGuard) isChecked() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.checkedEra != 0 && g.checkedEra >= max(g.config.Store.Era(), g.statedEra)
+}
+
+func (g *EntryGuard) restoreEntry(ctx context.Context) error {
+	listed, err := g.config.Directory.HasEntry(ctx)
+	if err != nil {
+		return err
+	}
+	era := g.config.Store.Era()
+	if !listed {
+		g.config.Log.Info("The entry of this process was lost.", logs.Fields{"era": era})
+		g.setListed(false)
+		if err := g.config.Directory.Register(ctx); err != nil {
+			return err
+		}
+		g.setListed(true)
+	}
+	g.mu.Lock()
+	g.checkedEra = era
+	g.mu.Unlock()
+	return nil
+}
+
+func (g *EntryGuard) setListed(listed bool) {
+	if g.config.SetListed != nil {
+		g.config.SetListed(listed)
+	}
+}
+
+func (g *EntryGuard) request() {
+	select {
+	case g.due <- struct{}{}:
+	default:
+	}
+}
+
+// checkPause returns a random pause before a member checks its entry, so that the given number of members together stay
+// within what the store can read.
+func checkPause(members int) time.Duration {
+	return time.Duration(rand.Float64() * float64(members) / checksPerSecond * float64(time.Second))
+}
