Publish the configuration and the zone's members again after the platform has lost them

What callers would have seen: an accepted patch is gone from the platform for good; the next patch gets a version number that all processes have already, so that it is refused as stale or never applied; processes that start later get the older configuration, and zones without their members.

Cause: balancers took a configuration and a zone's object that they had written or read for stored, whatever the platform's era.

The entries of lost patches are not kept, so the same patch submitted again is refused as stale, never applied twice.

Open: a patch that is accepted by the restored platform before the configuration is published again (half a second) is overwritten.

--- a/balancer/node/node.go
+++ b/balancer/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/cyclamendock/cyclamendock/lib/peer"
 	"github.com/cyclamendock/cyclamendock/lib/ring"
 	"github.com/cyclamendock/cyclamendock/lib/steer"
+	"github.com/cyclamendock/cyclamendock/lib/store"
 	"github.com/cyclamendock/cyclamendock/lib/trust"
 	"github.com/cyclamendock/cyclamendock/lib/udpio"
 )
@@ -28,13 +29,15 @@
 type Node struct {
 	daemon.Components
 
-	controlQueue *ring.Ring[relay.Control] // messages of agents and other balancers
-	peerServer   *peer.Server
-	relay        *relay.Relay
-	settings     Settings
-	socket       *udpio.Socket // to agents and other balancers
-	state        *State
-	table        *steer.Table // table of the current view
+	controlQueue     *ring.Ring[relay.Control] // messages of agents and other balancers
+	eras             store.Eras                // used by runZoneSync
+	peerServer       *peer.Server
+	relay            *relay.Relay
+	republishPending bool // the platform may lack the configuration in force; used by runZoneSync
+	settings         Settings
+	socket           *udpio.Socket // to agents and other balancers
+	state            *State
+	table            *steer.Table // table of the current view
 }
 
 // New opens the sockets of a balancer, or returns an Unavailable fault when an address is taken.
--- a/balancer/node/platform.go
+++ b/balancer/node/platform.go
@@ -116,6 +116,7 @@
 	for {
 		select {
 		case now := <-ticks:
+			n.checkEra(now)
 			n.syncZone(now)
 		case <-n.Ctx.Done():
 			return
--- a/lib/fleet/zonewriter.go
+++ b/lib/fleet/zonewriter.go
@@ -106,3 +106,6 @@
 	w.callPending = false
 	w.loaded = false
 }
+
+// Reload makes the object be read again, since the platform may have lost it; no call must be in progress.
+func (w *ZoneWriter) Reload() { w.loaded = false }
--- a/standin/local/cluster.go
+++ b/standin/local/cluster.go
@@ -147,6 +147,16 @@
 	return config.Submit(ctx, c.objects, config.Patch{Author: "stage", Base: head.Version, ID: id, Operations: operations})
 }
 
+// BackUpPlatform copies all objects of the platform, for RestorePlatform.
+func (c *Cluster) BackUpPlatform() error {
+	return postJSON("http://"+c.PlatformAddress.String()+"/backup", nil)
+}
+
+// RestorePlatform replaces all objects of the platform by those of the last backup, which loses all later changes.
+func (c *Cluster) RestorePlatform() error {
+	return postJSON("http://"+c.PlatformAddress.String()+"/restore", nil)
+}
+
 // SetPlatformFaults injects faults into the platform; the zero value removes them.
 func (c *Cluster) SetPlatformFaults(faults object.Faults) error {
 	return postJSON("http://"+c.PlatformAddress.String()+"/mood", faults)
--- a/standin/object/platform.go
+++ b/standin/object/platform.go
@@ -33,6 +33,7 @@
 
 // Platform serves objects from memory over HTTP.
 type Platform struct {
+	backup map[string]store.Object
 	counts RequestCounts
 	faults Faults
 	memory *store.Memory
@@ -47,12 +48,14 @@
 	return listen.Serve(ctx, address, p.Handler())
 }
 
-// Handler returns the platform's HTTP API, with two endpoints for tests: /mood sets the faults and /counts returns the
-// request counts.
+// Handler returns the platform's HTTP API, with endpoints for tests: /mood sets the faults, /counts returns the request
+// counts, /backup copies all objects, and /restore replaces them by the last copy, which loses all later changes.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /counts", p.getCounts)
+	mux.HandleFunc("POST /backup", p.backUp)
 	mux.HandleFunc("POST /mood", p.setFaults)
+	mux.HandleFunc("POST /restore", p.restore)
 	mux.HandleFunc("DELETE /objects/{key...}", p.injectFaults(p.remove))
 	mux.HandleFunc("GET /objects", p.injectFaults(p.list))
 	mux.HandleFunc("GET /objects/{key...}", p.injectFaults(p.get))
@@ -66,6 +69,18 @@
 	_ = json.NewEncoder(w).Encode(p.counts)
 }
 
+func (p *Platform) backUp(http.ResponseWriter, *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.backup = p.memory.Backup()
+}
+
+func (p *Platform) restore(http.ResponseWriter, *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.memory.Restore(p.backup)
+}
+
 func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
 	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
