Restore the store from older copies in the fault soak

Change: after each sixth fault in the mean the store gets the content of one of its last six copies, and the operator writes the latest configuration again; a separate random stream keeps the other faults of a seed as they were. At the end every balancer has to apply the latest configuration and every process has to be a member.

--- a/standin/tuple/cluster.go
+++ b/standin/tuple/cluster.go
@@ -10,6 +10,9 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -91,6 +94,28 @@
 	return string(body), err
 }
 
+// configVersionMetric matches the metric with the version of the configuration that a balancer applies.
+var configVersionMetric = regexp.MustCompile(`cyclamendock_balancer_config_version (\d+)`)
+
+// ConfigVersion returns the version of the configuration that a balancer applies, or zero when it can't be read.
+func (c *Cluster) ConfigVersion(balancer int) int {
+	page, err := c.Metrics(fmt.Sprintf("balancer-%d", balancer))
+	if err != nil {
+		return 0
+	}
+	match := configVersionMetric.FindStringSubmatch(page)
+	if match == nil {
+		return 0
+	}
+	version, _ := strconv.Atoi(match[1]) // the pattern matches digits only
+	return version
+}
+
+// Members returns the names of the processes' entries in the store.
+func (c *Cluster) Members() []string {
+	return slices.DeleteFunc(c.Store.Names("cyclamendock-members"), func(name string) bool { return name == "complete" })
+}
+
 // Backend returns the current backend server beside agent i.
 func (c *Cluster) Backend(i int) *Backend {
 	c.mu.Lock()
--- a/standin/tuple/leave_test.go
+++ b/standin/tuple/leave_test.go
@@ -53,7 +53,7 @@
 	g.Expect(agent.WaitExit(requestTimeout)).To(gomega.BeTrue())
 	g.Eventually(func() []string { return agentStates(g, c, 0) }, shortWait, shortWait/10).
 		Should(gomega.Equal([]string{"unknown", "unknown", "unknown"}))
-	g.Expect(memberNames(c)).To(gomega.HaveLen(7), "a stopped agent stays a member, since it may restart")
+	g.Expect(c.Members()).To(gomega.HaveLen(7), "a stopped agent stays a member, since it may restart")
 }
 
 func TestAgentWithoutBackendServerLeavesMembersWhenStopped(t *testing.T) {
@@ -65,7 +65,7 @@
 	agent := c.Process("agent-0")
 	agent.Signal(syscall.SIGTERM)
 	g.Expect(agent.WaitExit(requestTimeout)).To(gomega.BeTrue())
-	g.Expect(memberNames(c)).To(gomega.HaveLen(6))
+	g.Expect(c.Members()).To(gomega.HaveLen(6))
 	for _, err := range getAll(flows, "after", 3000) {
 		if err != nil {
 			g.Expect(err).To(gomega.MatchError(ErrReset), "flows of the removed backend server are reset")
@@ -83,11 +83,11 @@
 	g.Expect(agent.WaitExit(requestTimeout)).To(gomega.BeTrue())
 	g.Expect(c.Restart("agent-0")).To(gomega.Succeed())
 	g.Consistently(func() []string { return agentStates(g, c, 0) }, 5*shortWait, shortWait).Should(gomega.BeEmpty())
-	g.Expect(memberNames(c)).To(gomega.HaveLen(6))
+	g.Expect(c.Members()).To(gomega.HaveLen(6))
 	g.Expect(c.Replace(0)).To(gomega.Succeed())
 	g.Eventually(func() []string { return agentStates(g, c, 0) }, requestTimeout, shortWait).
 		Should(gomega.Equal([]string{"ready", "ready", "ready"}))
-	g.Expect(memberNames(c)).To(gomega.HaveLen(7))
+	g.Expect(c.Members()).To(gomega.HaveLen(7))
 	openFlows(g, c, "open", 20)
 	checkBackends(g, c)
 }
@@ -97,12 +97,11 @@
 	c := startTestCluster(t, 95)
 	c.Backend(0).Crash()
 	removeBackend(g, c, 0)
-	members := func() []string { return memberNames(c) }
-	g.Eventually(members, requestTimeout, shortWait).Should(gomega.HaveLen(6))
+	g.Eventually(c.Members, requestTimeout, shortWait).Should(gomega.HaveLen(6))
 	openFlows(g, c, "open", 20) // balancers that forward packets must not ask the agent to join again
-	g.Consistently(members, 5*shortWait, shortWait).Should(gomega.HaveLen(6))
+	g.Consistently(c.Members, 5*shortWait, shortWait).Should(gomega.HaveLen(6))
 	g.Expect(c.Replace(0)).To(gomega.Succeed())
-	g.Eventually(members, requestTimeout, shortWait).Should(gomega.HaveLen(7))
+	g.Eventually(c.Members, requestTimeout, shortWait).Should(gomega.HaveLen(7))
 	g.Eventually(func() []string { return agentStates(g, c, 0) }, requestTimeout, shortWait).
 		Should(gomega.Equal([]string{"ready", "ready", "ready"}))
 }
@@ -119,7 +118,7 @@
 	agent := c.Process("agent-0")
 	agent.Signal(syscall.SIGTERM)
 	g.Expect(agent.WaitExit(requestTimeout)).To(gomega.BeTrue())
-	g.Expect(memberNames(c)).To(gomega.HaveLen(6))
+	g.Expect(c.Members()).To(gomega.HaveLen(6))
 	g.Eventually(func() []string { return agentStates(g, c, 0) }, shortWait, shortWait/10).Should(gomega.BeEmpty())
 	openFlows(g, c, "after", 20)
 }
--- a/standin/tuple/restore_test.go
+++ b/standin/tuple/restore_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-	"regexp"
-	"slices"
-	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -20,27 +17,6 @@
 	pollInterval  = 50 * time.Millisecond
 )
 
-var configVersionMetric = regexp.MustCompile(`cyclamendock_balancer_config_version (\d+)`)
-
-// configVersion returns the version that a balancer applies, or zero when it can't be read.
-func configVersion(c *Cluster, balancer int) int {
-	page, err := c.Metrics(fmt.Sprintf("balancer-%d", balancer))
-	if err != nil {
-		return 0
-	}
-	match := configVersionMetric.FindStringSubmatch(page)
-	if match == nil {
-		return 0
-	}
-	version, _ := strconv.Atoi(match[1])
-	return version
-}
-
-// memberNames returns the names of the processes' entries in the store.
-func memberNames(c *Cluster) []string {
-	return slices.DeleteFunc(c.Store.Names("cyclamendock-members"), func(name string) bool { return name == "complete" })
-}
-
 // restoreAfterOutage takes the store away for a while and brings it back with the content of a backup.
 func restoreAfterOutage(c *Cluster, backup Backup) {
 	c.Store.SetFault(StoreFault{Status: 503})
@@ -57,7 +33,7 @@
 	for version := 2; version < 40; version++ {
 		c.SetConfig(version)
 	}
-	g.Eventually(func() int { return configVersion(c, 0) }, maxConfigLag, pollInterval).Should(gomega.Equal(39))
+	g.Eventually(func() int { return c.ConfigVersion(0) }, maxConfigLag, pollInterval).Should(gomega.Equal(39))
 	restoreAfterOutage(c, backup)
 	c.SetConfig(39)
 	time.Sleep(maxConfigLag)
@@ -65,7 +41,7 @@
 	c.SetConfig(40)
 	deadline := time.Now().Add(maxConfigLag)
 	for balancer := range c.config.Balancers {
-		g.Eventually(func() int { return configVersion(c, balancer) }, time.Until(deadline), pollInterval).Should(gomega.Equal(40), "balancer %d", balancer)
+		g.Eventually(func() int { return c.ConfigVersion(balancer) }, time.Until(deadline), pollInterval).Should(gomega.Equal(40), "balancer %d", balancer)
 	}
 	g.Expect(c.Store.Counts().Lists - before.Lists).To(gomega.BeNumerically("<=", c.config.Balancers))
 }
@@ -75,15 +51,14 @@
 	g := gomega.NewWithT(t)
 	c := startTestCluster(t, 125)
 	openFlows(g, c, "restored", 20)
-	members := func() []string { return memberNames(c) }
 	snapshots := func() []string { return c.Store.Names("cyclamendock-flows") }
 	g.Eventually(snapshots, 5*time.Second, pollInterval).Should(gomega.HaveLen(len(c.Backends)))
-	wantMembers, wantSnapshots := members(), snapshots()
+	wantMembers, wantSnapshots := c.Members(), snapshots()
 	g.Expect(wantMembers).To(gomega.HaveLen(len(c.processes)))
 	restoreAfterOutage(c, NewObjectStore().Backup())
 	c.SetConfig(1)
 	flows := openFlows(g, c, "restored-later", 3)
-	g.Eventually(members, maxReturnTime, pollInterval).Should(gomega.Equal(wantMembers))
+	g.Eventually(c.Members, maxReturnTime, pollInterval).Should(gomega.Equal(wantMembers))
 	g.Eventually(snapshots, 2*maxReturnTime, pollInterval).Should(gomega.Equal(wantSnapshots))
 	for _, err := range getAll(flows, "restored-last", 3000) {
 		g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/standin/tuple/soak.go
+++ b/standin/tuple/soak.go
@@ -18,6 +18,10 @@
 	soakRequestPause   = 20 * time.Millisecond // between a caller's requests
 	// soakMaxFaultPause is the longest pause between two faults.
 	soakMaxFaultPause = 900 * time.Millisecond
+	// soakKeptBackups is the number of copies of the store, one for each injected fault, of which one may be restored.
+	soakKeptBackups = 6
+	// soakFaultsPerRestore is the mean number of injected faults between two restores of the store.
+	soakFaultsPerRestore = 6
 	// soakRecoveryTime is the time without faults after which every request has to succeed.
 	soakRecoveryTime = 3 * time.Second
 )
@@ -41,6 +45,7 @@
 
 // soak injects random faults into a cluster and checks the invariants that callers and backend servers observe.
 type soak struct {
+	backups       []Backup // latest copies of the store, oldest first
 	callerRandom  *rand.Rand
 	cluster       *Cluster
 	config        SoakConfig
@@ -49,6 +54,7 @@
 	faulty        map[string]bool // processes and backend servers with an active fault; they get no second one
 	mu            sync.Mutex      // guards report and callerRandom
 	report        SoakReport
+	restoreRandom *rand.Rand // separate, so that a seed draws the same other faults with and without restores
 }
 
 // Soak runs a cluster of the real programs under random faults for a while, and returns the violated invariants.
@@ -71,6 +77,7 @@
 		configVersion: 1,
 		faultRandom:   rand.New(rand.NewPCG(config.Seed, 2)),
 		faulty:        map[string]bool{},
+		restoreRandom: rand.New(rand.NewPCG(config.Seed, 3)),
 	}
 	faultCtx, cancel := context.WithTimeout(ctx, config.Duration)
 	defer cancel()
@@ -96,6 +103,7 @@
 		pause := time.Duration(s.faultRandom.Int64N(int64(soakMaxFaultPause)))
 		description, revert := s.injectFault()
 		s.recordFault(fmt.Sprintf("%s, then %v", description, pause.Round(time.Millisecond)))
+		s.maybeRestoreStore()
 		if revert != nil {
 			reverts = append(reverts, revert)
 		}
@@ -113,6 +121,20 @@
 	}
 }
 
+// maybeRestoreStore replaces the store's content by an older copy of it, at random. The operator then writes the latest
+// configuration again.
+func (s *soak) maybeRestoreStore() {
+	s.backups = append(s.backups, s.cluster.Store.Backup())
+	s.backups = s.backups[max(0, len(s.backups)-soakKeptBackups):]
+	if s.restoreRandom.IntN(soakFaultsPerRestore) != 0 {
+		return
+	}
+	age := s.restoreRandom.IntN(len(s.backups))
+	s.cluster.Store.Restore(s.backups[len(s.backups)-1-age])
+	s.cluster.SetConfig(s.configVersion)
+	s.recordFault(fmt.Sprintf("the store is restored from %d faults ago", age))
+}
+
 // injectFault injects a random fault, and returns its description and a function that reverts it, if any.
 func (s *soak) injectFault() (string, func()) {
 	balancer := fmt.Sprintf("balancer-%d", s.faultRandom.IntN(soakBalancers))
@@ -278,6 +300,7 @@
 			s.recordViolation(fmt.Sprintf("a request failed after all faults had ended: %v", err))
 		}
 	}
+	s.checkStored()
 	for i := range soakAgents {
 		backend := s.cluster.Backend(i)
 		if _, corruptPackets := backend.Totals(); corruptPackets > 0 {
@@ -289,6 +312,18 @@
 	}
 }
 
+// checkStored checks that every balancer applies the latest configuration and that every process is a member.
+func (s *soak) checkStored() {
+	for i := range soakBalancers {
+		if version := s.cluster.ConfigVersion(i); version != s.configVersion {
+			s.recordViolation(fmt.Sprintf("balancer-%d applies configuration %d instead of %d", i, version, s.configVersion))
+		}
+	}
+	if members := s.cluster.Members(); len(members) != len(s.cluster.processes) {
+		s.recordViolation(fmt.Sprintf("the store lists only %v", members))
+	}
+}
+
 func (s *soak) countResult(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
