Refuse a malformed era of the platform instead of ignoring it

The QUIC deployments' store client dropped the error of a malformed era header silently. A response that states one is now unavailable, as one with a malformed version is. lib/store and lib/config tests pass.

--- a/lib/store/client.go
+++ b/lib/store/client.go
@@ -149,17 +149,23 @@
 	if err != nil {
 		return nil, unavailable(err)
 	}
-	if era, err := strconv.ParseUint(response.Header.Get(EraHeader), 10, 64); err == nil {
-		c.recordEra(era)
+	if err := c.recordEra(response.Header.Get(EraHeader)); err != nil {
+		_ = response.Body.Close()
+		return nil, unavailable(err)
 	}
 	return response, nil
 }
 
-// recordEra raises the latest era.
-func (c *Client) recordEra(era uint64) {
-	for known := c.era.Load(); era > known; known = c.era.Load() {
+// recordEra raises the latest era to that of a response, or returns an error when the response states a malformed one.
+func (c *Client) recordEra(text string) error {
+	if text == "" {
+		return nil
+	}
+	era, err := strconv.ParseUint(text, 10, 64)
+	for known := c.era.Load(); err == nil && era > known; known = c.era.Load() {
 		c.era.CompareAndSwap(known, era)
 	}
+	return err
 }
 
 func unavailable(cause error) error {
