--- a/lib/member/entryguard.go
+++ b/lib/member/entryguard.go
@@ -63,10 +63,10 @@
 // becomes due, which asks the store.
 func (g *EntryGuard) RecordStated(era uint64) {
 	g.mu.Lock()
-	news := era > g.statedEra && era > g.config.Store.Era()
+	later := era > g.statedEra && era > g.config.Store.Era()
 	g.statedEra = max(g.statedEra, era)
 	g.mu.Unlock()
-	if news {
+	if later {
 		g.request()
 	}
 }
