Delete only entries that are marked for removal, by version

What callers saw: after a planned restart of a backend server and a kill of all balancers, all open flows of that running backend server were reset.

Cause: the agent's delete of its entry got no answer and was executed 5 s later. It named no version, so it removed the entry that the agent had found in place and relied on since. New balancers knew the agent from nowhere, and a list without it proved its flows ended.

Why it works: an entry is marked first, only a marked version is deleted, and a process replaces a marked entry before it relies on it. So no delete under way names a version that anyone relies on, whoever sent it. The store's interface takes no delete without a version any more.

--- a/lib/flaky/store.go
+++ b/lib/flaky/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/cyclamendock/cyclamendock/lib/fault"
 	"github.com/cyclamendock/cyclamendock/lib/store"
@@ -19,12 +20,15 @@
 	ResponseLost
 	// StaleRead makes a read return the version before the latest one.
 	StaleRead
+	// ExecutedLate makes a write fail as unavailable and take effect only with ExecuteLate.
+	ExecutedLate
 )
 
 // Store wraps a store and injects into each call the fault that chooseFault returns.
 type Store struct {
 	chooseFault func(call string) Fault
 	inner       store.Store
+	late        []func()                // writes that are executed late, oldest first
 	previous    map[string]store.Object // version before the latest one, by key
 }
 
@@ -33,13 +37,18 @@
 	return &Store{chooseFault: chooseFault, inner: inner, previous: map[string]store.Object{}}
 }
 
-// Delete removes an object, or returns an Unavailable fault; if the response is lost, the object is still removed.
-func (s *Store) Delete(ctx context.Context, key string) error {
+// Delete removes an object of the expected version, or returns an Unavailable fault; if the response is lost, the object is still
+// removed.
+func (s *Store) Delete(ctx context.Context, key string, expected store.Version) error {
 	injected := s.chooseFault("delete")
-	if injected == RequestLost {
+	switch injected {
+	case RequestLost:
+		return unavailable()
+	case ExecutedLate:
+		s.late = append(s.late, func() { _ = s.inner.Delete(ctx, key, expected) }) // nobody waits for the result
 		return unavailable()
 	}
-	err := s.inner.Delete(ctx, key)
+	err := s.inner.Delete(ctx, key, expected)
 	if injected == ResponseLost {
 		return unavailable()
 	}
@@ -49,6 +58,16 @@
 // Era returns the latest era of the wrapped store.
 func (s *Store) Era() uint64 { return s.inner.Era() }
 
+// ExecuteLate executes the i-th of the writes that are executed late, counted from the oldest, if their condition still holds.
+func (s *Store) ExecuteLate(i int) {
+	write := s.late[i]
+	s.late = slices.Delete(s.late, i, i+1)
+	write()
+}
+
+// LateCount returns the number of writes that are still to be executed late.
+func (s *Store) LateCount() int { return len(s.late) }
+
 // Get returns an object, its previous version in a stale read, or an Unavailable fault.
 func (s *Store) Get(ctx context.Context, key string) (store.Object, error) {
 	injected := s.chooseFault("get")
@@ -74,7 +93,11 @@
 // Put writes an object, or returns an Unavailable fault; if the response is lost, the object is still written.
 func (s *Store) Put(ctx context.Context, key string, value []byte, expected store.Version) (store.Object, error) {
 	injected := s.chooseFault("put")
-	if injected == RequestLost {
+	switch injected {
+	case RequestLost:
+		return store.Object{}, unavailable()
+	case ExecutedLate:
+		s.late = append(s.late, func() { _, _ = s.inner.Put(ctx, key, value, expected) }) // nobody waits for the result
 		return store.Object{}, unavailable()
 	}
 	previous, previousErr := s.inner.Get(ctx, key)
--- a/lib/member/directory.go
+++ b/lib/member/directory.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/lib/fault"
@@ -31,6 +32,7 @@
 // Member is the entry of one process in the store.
 type Member struct {
 	Address netip.AddrPort // for messages between processes
+	Marked  bool           // the entry is marked for removal and may be deleted; its process does not rely on it
 	Role    Role
 }
 
@@ -48,8 +50,13 @@
 }
 
 // Directory registers one process in the store and lists all members.
+//
+// An entry is removed in two steps: it is marked for removal, and only a version that is marked is ever deleted. A process never
+// relies on a marked entry, but replaces it. So a delete that the store executes late removes no entry that a process relies on.
 type Directory struct {
-	config Config
+	config  Config
+	mu      sync.Mutex    // guards version
+	version store.Version // version of the process's entry as last read or written; zero when not known
 }
 
 // NewDirectory returns the directory of a process that is not registered yet.
@@ -87,6 +94,9 @@
 			d.config.Ignored.Record(time.Now(), netio.InputMember, object.Key, "the entry is not a valid member")
 			continue
 		}
+		if member == d.config.Self {
+			d.setVersion(object.Version)
+		}
 		list.Members = append(list.Members, member)
 	}
 	return list, nil
@@ -99,21 +109,73 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "the marker can't be encoded", "report this")
 	}
-	return d.replace(ctx, Prefix+markerName, value, marksEra)
+	_, err = d.replace(ctx, Prefix+markerName, value, marksEra)
+	return err
 }
 
-// ContainsSelf reports whether a list contains the process.
+// ContainsSelf reports whether a list contains the process, by an entry that is not marked for removal.
 func (d *Directory) ContainsSelf(list List) bool { return slices.Contains(list.Members, d.config.Self) }
 
-// Leave removes the process from the members.
-func (d *Directory) Leave(ctx context.Context) error { return d.Remove(ctx, d.config.Self.Address) }
+// Leave marks the entry of the process for removal and deletes it, or returns an Unavailable fault, or a Stale fault when the
+// entry changes meanwhile.
+func (d *Directory) Leave(ctx context.Context) error {
+	self := d.config.Self
+	version := d.takeVersion()
+	if version.IsZero() {
+		return d.Remove(ctx, self.Address)
+	}
+	marked, err := d.putMarked(ctx, self, version)
+	if fault.Is(err, fault.Stale) {
+		return d.Remove(ctx, self.Address)
+	}
+	return d.deleteMarked(ctx, marked, err)
+}
 
-// Remove removes the member with the given address.
+// Remove marks the entry with the given address for removal and deletes it, with the same faults as Leave. It leaves entries alone
+// that are no valid members.
 func (d *Directory) Remove(ctx context.Context, address netip.AddrPort) error {
-	return d.config.Store.Delete(ctx, key(address))
+	marked, err := d.mark(ctx, address)
+	return d.deleteMarked(ctx, marked, err)
+}
+
+// mark marks an entry for removal unless it is, and returns it, or a Missing fault when there is none.
+func (d *Directory) mark(ctx context.Context, address netip.AddrPort) (store.Object, error) {
+	object, err := d.config.Store.Get(ctx, key(address))
+	if err != nil {
+		return store.Object{}, err
+	}
+	m, ok := decode(object.Value)
+	switch {
+	case !ok:
+		return store.Object{}, fault.New(fault.Missing, "the entry "+object.Key+" is not a valid member", "nothing; its writer owns it")
+	case m.Marked:
+		return object, nil
+	}
+	return d.putMarked(ctx, m, object.Version)
+}
+
+// putMarked replaces an entry of the given version by one that is marked for removal.
+func (d *Directory) putMarked(ctx context.Context, m Member, version store.Version) (store.Object, error) {
+	m.Marked = true
+	value, err := encode(m)
+	if err != nil {
+		return store.Object{}, err
+	}
+	return d.config.Store.Put(ctx, key(m.Address), value, version)
 }
 
-// HasEntry reports whether the store has the entry of the process, or returns an Unavailable fault.
+// deleteMarked deletes a marked entry, if there was one to mark.
+func (d *Directory) deleteMarked(ctx context.Context, marked store.Object, err error) error {
+	if fault.Is(err, fault.Missing) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return d.config.Store.Delete(ctx, marked.Key, marked.Version)
+}
+
+// HasEntry reports whether the store has the entry of the process, not marked for removal, or returns an Unavailable fault.
 func (d *Directory) HasEntry(ctx context.Context) (bool, error) {
 	object, err := d.config.Store.Get(ctx, key(d.config.Self.Address))
 	if fault.Is(err, fault.Missing) {
@@ -125,67 +187,50 @@
 	return d.isOwnEntry(object), nil
 }
 
-// Register stores the entry of the process, replacing an older entry with the same address, or returns an Unavailable fault.
+// Register stores the entry of the process, replacing one with the same address that is older or marked for removal, or returns
+// an Unavailable fault.
 func (d *Directory) Register(ctx context.Context) error {
-	value, err := json.Marshal(storedMember{Address: d.config.Self.Address.String(), Role: string(d.config.Self.Role)})
+	value, err := encode(d.config.Self)
 	if err != nil {
-		return fault.Wrap(err, fault.Internal, "the member can't be encoded", "report this")
+		return err
 	}
-	return d.replace(ctx, key(d.config.Self.Address), value, d.isOwnEntry)
+	object, err := d.replace(ctx, key(d.config.Self.Address), value, d.isOwnEntry)
+	if err == nil {
+		d.setVersion(object.Version)
+	}
+	return err
 }
 
-// replace creates an object, or replaces an existing one that is not up to date.
-func (d *Directory) replace(ctx context.Context, key string, value []byte, isCurrent func(store.Object) bool) error {
-	_, err := d.config.Store.Put(ctx, key, value, store.Version{})
+// replace creates an object, or replaces an existing one that is not up to date, and returns what is stored then.
+func (d *Directory) replace(ctx context.Context, key string, value []byte, isCurrent func(store.Object) bool) (store.Object, error) {
+	object, err := d.config.Store.Put(ctx, key, value, store.Version{})
 	if !fault.Is(err, fault.Stale) {
-		return err
+		return object, err
 	}
-	object, err := d.config.Store.Get(ctx, key)
+	object, err = d.config.Store.Get(ctx, key)
 	if err != nil || isCurrent(object) {
-		return err
+		return object, err
 	}
-	_, err = d.config.Store.Put(ctx, key, value, object.Version)
-	return err
-}
-
-// isOwnEntry reports whether an object is the entry of the process.
-func (d *Directory) isOwnEntry(object store.Object) bool {
-	existing, ok := decode(object.Value)
-	return ok && existing == d.config.Self
+	return d.config.Store.Put(ctx, key, value, object.Version)
 }
 
-// storedMember is the JSON form of a member in the store.
-type storedMember struct {
-	Address string `json:"address"`
-	Role    string `json:"role"`
+func (d *Directory) setVersion(version store.Version) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version = version
 }
 
-// storedMarker is the JSON form of the marker in the store.
-type storedMarker struct {
-	Era uint64 `json:"era"`
+// takeVersion returns the last known version of the process's entry, which is not known from then on, as it is about to change.
+func (d *Directory) takeVersion() store.Version {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	version := d.version
+	d.version = store.Version{}
+	return version
 }
 
-// marksEra reports whether an object is a marker of the era in which it was read.
-func marksEra(object store.Object) bool {
-	var marker storedMarker
-	return json.Unmarshal(object.Value, &marker) == nil && marker.Era == object.Version.Era
-}
-
-// decode decodes a stored member and reports whether it is valid.
-func decode(value []byte) (Member, bool) {
-	var stored storedMember
-	if err := json.Unmarshal(value, &stored); err != nil {
-		return Member{}, false
-	}
-	address, err := netip.ParseAddrPort(stored.Address)
-	role := Role(stored.Role)
-	if err != nil || role != RoleAgent && role != RoleBalancer {
-		return Member{}, false
-	}
-	return Member{Address: address, Role: role}, true
-}
-
-// key returns the store key of the member with the given address.
-func key(address netip.AddrPort) string {
-	return Prefix + store.AddressName(address)
+// isOwnEntry reports whether an object is the entry of the process.
+func (d *Directory) isOwnEntry(object store.Object) bool {
+	existing, ok := decode(object.Value)
+	return ok && existing == d.config.Self
 }
--- a/lib/snap/archive.go
+++ b/lib/snap/archive.go
@@ -62,9 +62,14 @@
 	return nil
 }
 
-// Remove removes the stored snapshot, or returns an Unavailable fault.
+// Remove reads the version of the stored snapshot and removes that version, or returns an Unavailable fault, or a Stale fault
+// when the agent stores another one meanwhile.
 func (a *Archive) Remove(ctx context.Context) error {
-	if err := a.store.Delete(ctx, a.key); err != nil {
+	_, err := a.Load(ctx)
+	if err != nil && !fault.Is(err, fault.Invalid) || a.version.IsZero() {
+		return err
+	}
+	if err := a.store.Delete(ctx, a.key, a.version); err != nil {
 		return err
 	}
 	a.version = store.Version{}
--- a/lib/store/client.go
+++ b/lib/store/client.go
@@ -43,19 +43,24 @@
 	return &Client{baseURL: config.URL, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
 }
 
-// Delete removes an object, or returns an Unavailable fault.
-func (c *Client) Delete(ctx context.Context, key string) error {
+// Delete removes an object if its version is the expected one, or returns a Stale or Unavailable fault.
+func (c *Client) Delete(ctx context.Context, key string, expected Version) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	response, err := c.send(ctx, http.MethodDelete, "/objects/"+key, nil, nil)
+	query := url.Values{"expected": {expected.String()}}
+	response, err := c.send(ctx, http.MethodDelete, "/objects/"+key, query, nil)
 	if err != nil {
 		return err
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusNoContent {
+	switch response.StatusCode {
+	case http.StatusNoContent:
+		return nil
+	case http.StatusPreconditionFailed:
+		return stale(key)
+	default:
 		return unavailable(nil)
 	}
-	return nil
 }
 
 // Era returns the latest era that the platform has stated; zero before its first answer.
--- a/lib/store/memory.go
+++ b/lib/store/memory.go
@@ -10,10 +10,11 @@
 
 // Memory is a Store that keeps its objects in memory.
 type Memory struct {
-	changed chan struct{} // closed and replaced by each write
-	era     uint64
-	mu      sync.Mutex
-	objects map[string]Object
+	changed  chan struct{} // closed and replaced by each write
+	era      uint64
+	mu       sync.Mutex
+	objects  map[string]Object
+	revision uint64 // of the last change
 }
 
 // NewMemory returns an empty store.
@@ -21,10 +22,14 @@
 	return &Memory{changed: make(chan struct{}), era: 1, objects: map[string]Object{}}
 }
 
-// Delete removes an object.
-func (m *Memory) Delete(_ context.Context, key string) error {
+// Delete removes an object if its version is the expected one, or returns a Stale fault.
+func (m *Memory) Delete(_ context.Context, key string, expected Version) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	object, ok := m.objects[key]
+	if ok && object.Version != expected {
+		return stale(key)
+	}
 	delete(m.objects, key)
 	return nil
 }
@@ -43,13 +48,16 @@
 	return maps.Clone(m.objects)
 }
 
-// Restore replaces all objects by those of a backup and begins the next era, as after a loss of all later changes.
+// Restore replaces all objects by those of a backup and begins the next era, as after a loss of all later changes, whose
+// revisions are given out again.
 func (m *Memory) Restore(backup map[string]Object) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.era++
 	m.objects = make(map[string]Object, len(backup))
+	m.revision = 0
 	for key, object := range backup {
+		m.revision = max(m.revision, object.Version.Revision)
 		object.Version.Era = m.era
 		m.objects[key] = object
 	}
@@ -88,7 +96,8 @@
 	if m.objects[key].Version != expected {
 		return Object{}, stale(key)
 	}
-	object := Object{Key: key, Value: slices.Clone(value), Version: Version{Era: m.era, Revision: expected.Revision + 1}}
+	m.revision++
+	object := Object{Key: key, Value: slices.Clone(value), Version: Version{Era: m.era, Revision: m.revision}}
 	m.objects[key] = object
 	m.notify()
 	return object, nil
--- a/lib/store/store.go
+++ b/lib/store/store.go
@@ -17,8 +17,10 @@
 
 // Store is a key-value store with compare-and-swap and watches, as the platform's object API provides it.
 type Store interface {
-	// Delete removes an object, or returns an Unavailable fault; deleting a missing object is no error.
-	Delete(ctx context.Context, key string) error
+	// Delete removes an object if its version is the expected one, or returns a Stale fault on a different version, and an
+	// Unavailable fault when it is unknown whether the delete has been or will be executed. Deleting a missing object is no
+	// error.
+	Delete(ctx context.Context, key string, expected Version) error
 	// Era returns the latest era that the store has stated so far; zero before its first answer.
 	Era() uint64
 	// Get returns an object, or a Missing or Unavailable fault.
--- a/standin/object/platform.go
+++ b/standin/object/platform.go
@@ -165,7 +165,15 @@
 
 func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
 	p.updateCounts(func(c *RequestCounts) { c.Writes++ })
-	_ = p.memory.Delete(r.Context(), r.PathValue("key"))
+	expected, err := store.ParseVersion(r.URL.Query().Get("expected"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if p.memory.Delete(r.Context(), r.PathValue("key"), expected) != nil {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/standin/tuple/objectstore.go
+++ b/standin/tuple/objectstore.go
@@ -21,6 +21,9 @@
 type StoreFault struct {
 	Delay            time.Duration // before each response
 	KeepsWatches     bool          // watches that wait when the store is restored stay open, and get no more events
+	LateBy           time.Duration // how much later LateWrites are executed
+	LateMethod       string        // HTTP method of LateWrites; any when empty
+	LateWrites       int           // number of writes that get no response and are executed late, if their condition still holds
 	Silent           bool          // requests get no response
 	Status           int           // HTTP status of every response, unless zero
 	UnansweredWrites int           // number of writes that are applied but get no response
@@ -28,10 +31,11 @@
 
 // RequestCounts holds the number of requests that the store has handled, by kind.
 type RequestCounts struct {
-	Lists   int
-	Reads   int
-	Watches int
-	Writes  int
+	LateWrites int // writes without a response that have been executed late; included in Writes
+	Lists      int
+	Reads      int
+	Watches    int
+	Writes     int
 }
 
 // Meta identifies an object and its revision, which the store assigns.
@@ -275,7 +279,17 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if r.Method == http.MethodDelete {
+		sent.Meta.Revision, _ = strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	}
 	o.mu.Lock()
+	if o.fault.LateWrites > 0 && (o.fault.LateMethod == "" || o.fault.LateMethod == r.Method) {
+		o.fault.LateWrites--
+		time.AfterFunc(o.fault.LateBy, func() { o.applyLate(r.Method, kind, name, sent) })
+		o.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	status, object := o.apply(r.Method, kind, name, sent)
 	loseResponse := o.fault.UnansweredWrites > 0
 	if loseResponse {
@@ -289,6 +303,14 @@
 	writeJSON(w, status, object)
 }
 
+// applyLate executes a write whose request got no response.
+func (o *ObjectStore) applyLate(method, kind, name string, sent Object) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.apply(method, kind, name, sent)
+	o.counts.LateWrites++
+}
+
 func (o *ObjectStore) apply(method, kind, name string, sent Object) (int, Object) {
 	o.counts.Writes++
 	if method == http.MethodPost {
@@ -296,13 +318,13 @@
 	}
 	stored, exists := o.objects[kind+"/"+name]
 	switch {
-	case method == http.MethodDelete:
-		o.remove(kind, stored, exists)
-		return http.StatusOK, stored
-	case method == http.MethodPost && exists, method == http.MethodPut && exists && sent.Meta.Revision != 0 && sent.Meta.Revision != stored.Meta.Revision:
+	case method == http.MethodPost && exists, method != http.MethodPost && exists && sent.Meta.Revision != 0 && sent.Meta.Revision != stored.Meta.Revision:
 		return http.StatusConflict, stored
-	case method == http.MethodPut && !exists:
+	case method != http.MethodPost && !exists:
 		return http.StatusNotFound, Object{}
+	case method == http.MethodDelete:
+		o.remove(kind, stored)
+		return http.StatusOK, stored
 	}
 	sent.Meta.Name = name
 	return http.StatusOK, o.put(kind, sent)
@@ -316,10 +338,7 @@
 	return object
 }
 
-func (o *ObjectStore) remove(kind string, object Object, exists bool) {
-	if !exists {
-		return
-	}
+func (o *ObjectStore) remove(kind string, object Object) {
 	delete(o.objects, kind+"/"+object.Meta.Name)
 	o.revision++
 	object.Meta.Revision = o.revision
