Let no list lack an agent that may run: mark silent agents, don't forget them

What callers saw: after a cut of 8 s or more of some hosts, sessions were reset in the middle while their backend servers worked, once balancers had been added during the cut and others restarted after it.

Cause: each balancer forgot a silent agent by its own clock and sent it nothing more, the reader deleted its entry, and nothing told the agent. Balancers that came meanwhile heard it and used it; the others found it on no list and took its flows for ended.

Why it works: a silent agent is dormant, so nothing waits for it, but it is still sent hellos. Its entry is only marked for removal, so a balancer that does not know it asks it before it resets anything. Whoever hears it tells it to replace its entry; it also reads the entry each 5 to 10 min, and only one that stayed marked for 30 min is purged. A marked agent costs a new balancer 1 s of waiting instead of 4. An agent that is only marked goes on taking flows.

Checks that were about forgetting an agent say the same of dormancy; the one for Directory.Remove became one for marks, which must stay listed.

--- a/agent/tuple/members.go
+++ b/agent/tuple/members.go
@@ -22,7 +22,7 @@
 )
 
 // runMembers joins the member list and subscribes the balancers in it to reports. It joins again whenever a balancer
-// reports that this agent is not listed. It leaves the list when the backend server has ended for good and joins again
+// reports that this agent is not listed, or may be marked for removal. It leaves the list when the backend server has ended for good and joins again
 // with the next backend server.
 func (n *Node) runMembers() {
 	n.joinAtStart()
@@ -33,7 +33,9 @@
 		case <-n.guard.Due():
 			n.guard.Check(n.ctx)
 		case <-joinRequested:
-			n.setListing(flows.ListingAbsent)
+			if n.joinMissing.Swap(false) {
+				n.setListing(flows.ListingAbsent)
+			}
 			n.join(false)
 			joinRequested, pauseEnd = nil, time.After(minJoinPause)
 		case <-pauseEnd:
@@ -209,8 +211,11 @@
 	}
 }
 
-// requestJoin makes runMembers join the member list again.
-func (n *Node) requestJoin() {
+// requestJoin makes runMembers join the member list again. An agent whose entry may only be marked for removal is still listed.
+func (n *Node) requestJoin(join flows.Join) {
+	if join.Missing {
+		n.joinMissing.Store(true)
+	}
 	select {
 	case n.joinRequested <- struct{}{}:
 	default:
--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -63,6 +63,7 @@
 	dispatcher      *flows.Dispatcher
 	guard           *member.EntryGuard
 	inlet           *net.UDPConn  // connected to the backend server's address
+	joinMissing     atomic.Bool   // a balancer has reported that this agent is not listed
 	joinRequested   chan struct{} // wakes runMembers to join the member list again
 	leaveRequested  chan struct{} // wakes runMembers after the backend server has ended for good
 	meter           *meter
--- a/agent/tuple/packets.go
+++ b/agent/tuple/packets.go
@@ -87,7 +87,9 @@
 	case flows.KindHello:
 		n.handleHello(now, out, message, from)
 	case flows.KindJoin:
-		n.requestJoin()
+		var join flows.Join
+		join.Decode(message)
+		n.requestJoin(join)
 	default:
 		n.config.Ignored.Record(now, netio.InputMessage, from.String(), "unknown kind of message")
 	}
--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -7,7 +7,6 @@
 	"github.com/cyclamendock/cyclamendock/lib/flows"
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/netio"
-	"github.com/cyclamendock/cyclamendock/lib/snap"
 	"github.com/cyclamendock/cyclamendock/lib/store"
 )
 
@@ -54,35 +53,26 @@
 	}
 }
 
-// sweep removes expired state and agents that have not reported for long.
+// sweep removes expired state and gives up agents that have not reported for long.
 func (n *Node) sweep(now time.Time) {
 	n.mu.Lock()
 	n.director.Sweep(now)
-	removed := n.director.Agents.ForgetSilent(now)
+	silent := n.director.Agents.GiveUpSilent(now)
 	isReader := n.configReads.isReader()
+	var unmarked []flows.Endpoint
+	if isReader {
+		unmarked = n.director.Agents.TakeUnmarked()
+	}
 	n.mu.Unlock()
 	if isReader && n.markDue(now) {
 		go n.runMarkComplete()
 	}
 	n.logNewAgents()
-	for _, agent := range removed {
-		n.config.Log.Info("A silent agent was removed.", logs.Fields{"agent": agent.String()})
-	}
-	if isReader && len(removed) > 0 {
-		go n.runRemove(removed)
+	for _, agent := range silent {
+		n.config.Log.Info("An agent is silent.", logs.Fields{"agent": agent.String()})
 	}
-}
-
-// runRemove removes agents from the member list, and their snapshots; an agent that reports again is asked to rejoin.
-func (n *Node) runRemove(agents []flows.Endpoint) {
-	for _, agent := range agents {
-		if err := n.directory.Remove(n.ctx, agent.AddrPort()); err != nil {
-			n.handleStoreError("An agent can't be removed from the members.", err)
-			continue
-		}
-		if err := snap.NewArchive(n.config.Store, agent.AddrPort()).Remove(n.ctx); err != nil {
-			n.handleStoreError("The snapshot of a removed agent can't be removed.", err)
-		}
+	if len(unmarked) > 0 {
+		go n.runMark(unmarked)
 	}
 }
 
--- a/balancer/tuple/members.go
+++ b/balancer/tuple/members.go
@@ -27,6 +27,7 @@
 	Agents    []string // addresses
 	Balancers []string // addresses
 	Complete  bool     // see member.List
+	Marked    []string // addresses of agents whose entries are marked for removal; not among Agents
 }
 
 // Members reads the list of members from the store, with one read for all balancers that ask at about the same time.
@@ -39,10 +40,12 @@
 	}
 	list.Complete = read.Complete
 	for _, m := range read.Members {
-		switch m.Role {
-		case member.RoleAgent:
+		switch {
+		case m.Role == member.RoleAgent && m.Marked:
+			list.Marked = append(list.Marked, m.Address.String())
+		case m.Role == member.RoleAgent:
 			list.Agents = append(list.Agents, m.Address.String())
-		case member.RoleBalancer:
+		case m.Role == member.RoleBalancer:
 			list.Balancers = append(list.Balancers, m.Address.String())
 		}
 	}
@@ -82,6 +85,9 @@
 	for _, address := range n.parseAddresses(now, answer.Agents) {
 		list.Members = append(list.Members, member.Member{Address: address, Role: member.RoleAgent})
 	}
+	for _, address := range n.parseAddresses(now, answer.Marked) {
+		list.Members = append(list.Members, member.Member{Address: address, Marked: true, Role: member.RoleAgent})
+	}
 	for _, address := range n.parseAddresses(now, answer.Balancers) {
 		list.Members = append(list.Members, member.Member{Address: address, Role: member.RoleBalancer})
 	}
@@ -159,7 +165,7 @@
 }
 
 // mergeMemberList adds the members of a list that was requested at the given time, and asks agents that report but are
-// missing from the list to join again.
+// missing from the list to join again. Those that are marked for removal on it are asked when they report.
 func (n *Node) mergeMemberList(requestedAt time.Time, list member.List) {
 	now := time.Now()
 	var listed []flows.Endpoint
@@ -168,7 +174,7 @@
 		switch m.Role {
 		case member.RoleAgent:
 			listed = append(listed, flows.EndpointOf(m.Address))
-			n.director.Agents.AddListed(now, requestedAt, flows.EndpointOf(m.Address))
+			n.director.Agents.AddListed(now, requestedAt, flows.EndpointOf(m.Address), m.Marked)
 		case member.RoleBalancer:
 			n.peers.add(m.Address)
 		}
@@ -177,7 +183,7 @@
 	n.mu.Unlock()
 	for _, agent := range unlisted {
 		n.config.Log.Info("Agent is missing from the members.", logs.Fields{"agent": agent.String()})
-		n.socket.Send(flows.AppendJoin(nil), agent.AddrPort())
+		n.socket.Send(flows.Join{Missing: true}.Append(nil), agent.AddrPort())
 	}
 }
 
--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -153,6 +153,7 @@
 	go n.runConfigCheck()
 	go n.runEntryChecks()
 	go n.runMembers()
+	go n.runPurge()
 	n.config.Log.Info("Started.", logs.Fields{"address": n.config.Address.String()})
 	<-ctx.Done()
 	n.shutDown()
--- a/balancer/tuple/observe.go
+++ b/balancer/tuple/observe.go
@@ -81,6 +81,7 @@
 		})
 	}
 	gauge("cyclamendock_balancer_agents", func() float64 { return float64(n.director.Agents.ReportedCount()) })
+	gauge("cyclamendock_balancer_agents_dormant", func() float64 { return float64(n.director.Agents.DormantCount()) })
 	gauge("cyclamendock_balancer_config_version", func() float64 { return float64(n.director.Version()) })
 	gauge("cyclamendock_balancer_config_age_seconds", func() float64 { return time.Since(n.configReads.lastRead).Seconds() })
 	gauge("cyclamendock_balancer_flows_waiting", func() float64 { return float64(n.director.Waiting()) })
--- a/balancer/tuple/packets.go
+++ b/balancer/tuple/packets.go
@@ -123,15 +123,15 @@
 		return false
 	}
 	n.mu.Lock()
-	returned := n.director.Agents.RecentlyForgotten(now, sender)
+	mustJoin := n.director.Agents.MustJoin(sender, report)
 	met := n.director.Agents.HasReported(sender)
 	changed := n.director.RecordReport(now, sender, report)
 	if changed && !met {
 		n.newAgents.record(report)
 	}
 	n.mu.Unlock()
-	if returned { // the agent may have been removed from the members while it was silent
-		n.socket.Send(flows.AppendJoin(nil), sender.AddrPort())
+	if mustJoin {
+		n.socket.Send(flows.Join{}.Append(nil), sender.AddrPort())
 	}
 	if changed && met {
 		n.logAgentChange(now, sender, report)
--- a/lib/flows/agents_test.go
+++ b/lib/flows/agents_test.go
@@ -23,7 +23,7 @@
 	}
 }
 
-func TestSilentAgentIsForgottenUntilItReports(t *testing.T) {
+func TestSilentAgentIsDormantUntilItReports(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Unix(0, 0)
 	a := reportedAgents(now, 3)
@@ -32,17 +32,68 @@
 	g.Expect(a.Lost(now.Add(testLostAfter), silent)).To(gomega.BeFalse())
 	g.Expect(a.Lost(now.Add(testLostAfter+1), silent)).To(gomega.BeTrue())
 	a.keepReporting(now, now.Add(2*testLostAfter), testEndpoint(2, 1))
-	g.Expect(a.ForgetSilent(now.Add(2 * testLostAfter))).To(gomega.BeEmpty())
+	g.Expect(a.GiveUpSilent(now.Add(2 * testLostAfter))).To(gomega.BeEmpty())
 	later := now.Add(2*testLostAfter + 1)
-	g.Expect(a.ForgetSilent(later)).To(gomega.Equal([]Endpoint{silent}))
+	hash := a.Hash()
+	g.Expect(a.GiveUpSilent(later)).To(gomega.Equal([]Endpoint{silent}))
+	g.Expect(a.GiveUpSilent(later)).To(gomega.BeEmpty())
+	g.Expect(a.Hash()).NotTo(gomega.Equal(hash))
+	g.Expect(a.Addresses()).NotTo(gomega.ContainElement(silent))
+	g.Expect(a.candidates(later, HashName(testService), testFlow(1), nil)).NotTo(gomega.ContainElement(silent))
 	g.Expect(a.Add(later, silent)).To(gomega.BeFalse())
-	g.Expect(a.RecentlyForgotten(later, silent)).To(gomega.BeTrue())
+	g.Expect(a.Dormant(silent)).To(gomega.BeTrue())
+	g.Expect(a.TakeUnmarked()).To(gomega.Equal([]Endpoint{silent}))
+	g.Expect(a.TakeUnmarked()).To(gomega.BeEmpty())
+	a.SetUnmarked(silent)
+	g.Expect(a.TakeUnmarked()).To(gomega.Equal([]Endpoint{silent}))
 	g.Expect(a.RecordReport(later, silent, Report{Service: HashName(testService), State: StateReady})).To(gomega.BeTrue())
-	g.Expect(a.Has(silent)).To(gomega.BeTrue())
-	g.Expect(a.RecentlyForgotten(later, silent)).To(gomega.BeFalse())
+	g.Expect(a.Dormant(silent)).To(gomega.BeFalse())
+	g.Expect(a.Hash()).To(gomega.Equal(hash))
+	g.Expect(a.candidates(later, HashName(testService), testFlow(1), nil)).To(gomega.ContainElement(silent))
 }
 
-func TestNoAgentIsForgottenWhenMostAreSilent(t *testing.T) {
+// Guards against an agent that comes back from a cut and is found by some balancers only: those that had given it up sent it nothing.
+func TestDormantAgentIsAskedForReportsUntilItsEntryMustBeGone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	a := reportedAgents(now, 3)
+	silent := testEndpoint(2, 0)
+	a.ExpectReport(now, silent, false)
+	a.keepReporting(now, now.Add(2*testLostAfter), testEndpoint(2, 1))
+	now = now.Add(2*testLostAfter + 1)
+	g.Expect(a.GiveUpSilent(now)).To(gomega.Equal([]Endpoint{silent}))
+	for range 10 {
+		now = now.Add(maxHelloInterval)
+		g.Expect(a.DueHellos(now)).To(gomega.ContainElement(silent))
+	}
+	a.GiveUpSilent(now.Add(dormantLifetime))
+	g.Expect(a.Has(silent)).To(gomega.BeFalse())
+}
+
+// An agent that has failed and whose entry is marked delays no proof at a balancer that starts later for lostAfter.
+func TestUnheardAgentOfMarkedEntryIsLostSoon(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	a := NewAgents(testLostAfter)
+	marked, other := testEndpoint(2, 0), testEndpoint(2, 1)
+	a.AddListed(now, now, marked, true)
+	a.AddListed(now, now, other, false)
+	g.Expect(a.Unreported(now.Add(markedPatience))).To(gomega.Equal([]Endpoint{marked, other}))
+	g.Expect(a.Unreported(now.Add(markedPatience + 1))).To(gomega.Equal([]Endpoint{other}))
+	hellos := 0
+	for elapsed := time.Duration(0); elapsed < markedPatience; elapsed += 25 * time.Millisecond {
+		hellos += len(a.DueHellos(now.Add(elapsed)))
+	}
+	g.Expect(hellos).To(gomega.BeNumerically(">=", 2*4), "lost hellos make no agent lost")
+	g.Expect(a.MustJoin(marked, Report{State: StateGone})).To(gomega.BeFalse(), "it leaves by itself")
+	g.Expect(a.MustJoin(marked, Report{State: StateReady})).To(gomega.BeTrue())
+	g.Expect(a.MustJoin(other, Report{State: StateReady})).To(gomega.BeFalse())
+	a.RecordReport(now, marked, Report{Service: HashName(testService), State: StateReady})
+	a.ExpectReport(now, marked, false)
+	g.Expect(a.Lost(now.Add(testLostAfter), marked)).To(gomega.BeFalse(), "it was heard here")
+}
+
+func TestNoAgentIsGivenUpWhenMostAreSilent(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Unix(0, 0)
 	a := reportedAgents(now, 3)
@@ -50,7 +101,7 @@
 		a.ExpectReport(now, testEndpoint(2, i), false)
 	}
 	a.keepReporting(now, now.Add(time.Minute), testEndpoint(2, 2))
-	g.Expect(a.ForgetSilent(now.Add(time.Minute))).To(gomega.BeEmpty())
+	g.Expect(a.GiveUpSilent(now.Add(time.Minute))).To(gomega.BeEmpty())
 	g.Expect(a.Lost(now.Add(time.Minute), testEndpoint(2, 0))).To(gomega.BeTrue())
 }
 
@@ -115,9 +166,9 @@
 	address := testEndpoint(2, 0)
 	a.RecordReport(now, address, Report{Service: HashName(testService), State: StateReady})
 	a.RecordReport(now, address, Report{Service: HashName(testService), State: StateLeft})
-	a.AddListed(now.Add(time.Second), now.Add(-time.Millisecond), address)
+	a.AddListed(now.Add(time.Second), now.Add(-time.Millisecond), address, false)
 	g.Expect(a.Has(address)).To(gomega.BeFalse(), "the list was read before the agent left")
-	a.AddListed(now.Add(time.Second), now.Add(time.Millisecond), address)
+	a.AddListed(now.Add(time.Second), now.Add(time.Millisecond), address, false)
 	g.Expect(a.Has(address)).To(gomega.BeTrue())
 	responsive, silent := a.holders(now.Add(time.Second), HashName(testService), testFlow(1), nil)
 	g.Expect(append(responsive, silent...)).To(gomega.ContainElement(address), "the new agent may hold flows")
@@ -141,7 +192,7 @@
 }
 
 // A balancer that was cut off hears the agents again one by one. It must not take those that are later than others for
-// dead: it would remove them from the members, and reset their flows.
+// dead: it would mark their entries for removal, and reset their flows.
 func TestOwnIsolationDoesNotCountAsSilenceOfAgents(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Unix(0, 0)
@@ -153,25 +204,25 @@
 		agents.ExpectReport(now, testEndpoint(2, i), false)
 	}
 	late := testEndpoint(2, count-1)
-	now = now.Add(forgetAfterFactor * 2 * testLostAfter)
+	now = now.Add(dormantAfterFactor * 2 * testLostAfter)
 	g.Expect(agents.Lost(now, late)).To(gomega.BeTrue())
 	for i := range count - 1 {
 		agents.RecordReport(now, testEndpoint(2, i), report)
 	}
 	g.Expect(agents.Lost(now, late)).To(gomega.BeFalse())
-	g.Expect(agents.ForgetSilent(now)).To(gomega.BeEmpty())
+	g.Expect(agents.GiveUpSilent(now)).To(gomega.BeEmpty())
 	g.Expect(agents.DueHellos(now.Add(fastReportInterval + reportGrace + 1))).To(gomega.ContainElement(late))
-	for range 2 * forgetAfterFactor * int(testLostAfter/time.Second) {
+	for range 2 * dormantAfterFactor * int(testLostAfter/time.Second) {
 		now = now.Add(500 * time.Millisecond)
 		agents.RecordReport(now, testEndpoint(2, 0), report)
 	}
 	now = now.Add(1)
 	g.Expect(agents.Lost(now, late)).To(gomega.BeTrue(), "it stays silent while others are heard")
-	g.Expect(agents.ForgetSilent(now)).To(gomega.Equal([]Endpoint{late}))
+	g.Expect(agents.GiveUpSilent(now)).To(gomega.Equal([]Endpoint{late}))
 }
 
 // A balancer that is cut off has asked some agents for reports and not others.
-func TestNoAgentIsForgottenWhileNoneIsHeard(t *testing.T) {
+func TestNoAgentIsGivenUpWhileNoneIsHeard(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Unix(0, 0)
 	agents := NewAgents(testLostAfter)
@@ -181,8 +232,8 @@
 	}
 	asked := testEndpoint(2, 0)
 	agents.ExpectReport(now, asked, false)
-	now = now.Add(forgetAfterFactor * 2 * testLostAfter)
-	g.Expect(agents.ForgetSilent(now)).To(gomega.BeEmpty())
+	now = now.Add(dormantAfterFactor * 2 * testLostAfter)
+	g.Expect(agents.GiveUpSilent(now)).To(gomega.BeEmpty())
 	g.Expect(agents.Has(asked)).To(gomega.BeTrue())
 }
 
--- a/lib/flows/listing_test.go
+++ b/lib/flows/listing_test.go
@@ -60,7 +60,7 @@
 	for i := range 2 {
 		a.RecordReport(now, testEndpoint(2, i), report)
 	}
-	a.AddListed(now, now, testEndpoint(2, 1))
+	a.AddListed(now, now, testEndpoint(2, 1), false)
 	g.Expect(a.candidates(now, report.Service, testFlow(1), nil)).To(gomega.Equal([]Endpoint{testEndpoint(2, 1)}))
 }
 
@@ -111,7 +111,7 @@
 		}
 		for agent, listed := range n.listed {
 			if listed {
-				d.Agents.AddListed(n.now, n.now, agent)
+				d.Agents.AddListed(n.now, n.now, agent, false)
 			}
 		}
 		for _, verdict := range d.ResolvePendingResets(n.now, n.now) {
@@ -202,7 +202,7 @@
 		n.sendVia(last, flow, FlagAck, 100)
 		d := n.directors[last]
 		g.Expect(d.HasPendingResets()).To(gomega.BeTrue(), fmt.Sprint(count))
-		d.Agents.AddListed(n.now, n.now, owner.address)
+		d.Agents.AddListed(n.now, n.now, owner.address, false)
 		g.Expect(d.ResolvePendingResets(n.now, n.now)).To(gomega.BeEmpty(), fmt.Sprint(count))
 		n.sendVia(last, flow, FlagAck, 100)
 		g.Expect(n.resets).To(gomega.BeEmpty())
--- a/lib/flows/message.go
+++ b/lib/flows/message.go
@@ -58,6 +58,11 @@
 	Era uint64 // latest era of the store that the balancer knows
 }
 
+// Join asks an agent to register itself in the store again.
+type Join struct {
+	Missing bool // the agent is missing from a list of members; otherwise its entry may be marked for removal
+}
+
 // Owner tells a balancer that the sending agent holds a flow.
 type Owner struct {
 	Flow Flow
@@ -154,6 +159,8 @@
 	forwardFinal      = 2
 	forwardAssigned   = 4
 
+	joinMissing = 1
+
 	reportWarming = 1
 )
 
@@ -272,8 +279,15 @@
 	return !r.failed
 }
 
-// AppendJoin appends an encoded message of kind KindJoin.
-func AppendJoin(dst []byte) []byte { return append(dst, byte(KindJoin)) }
+// Append appends the encoded message.
+func (j Join) Append(dst []byte) []byte {
+	return append(dst, byte(KindJoin), flagBit(j.Missing, joinMissing))
+}
+
+// Decode decodes the message. One without flags comes from an earlier version, which sends it to missing agents too.
+func (j *Join) Decode(message []byte) {
+	j.Missing = len(message) < 2 || message[1]&joinMissing != 0
+}
 
 // Append appends the encoded message.
 func (d Digest) Append(dst []byte) []byte {
--- a/lib/flows/message_test.go
+++ b/lib/flows/message_test.go
@@ -113,3 +113,15 @@
 		}
 	})
 }
+
+func TestJoinOfAnEarlierVersionIsForMissingAgents(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, missing := range []bool{true, false} {
+		var join Join
+		join.Decode(Join{Missing: missing}.Append(nil))
+		g.Expect(join.Missing).To(gomega.Equal(missing))
+	}
+	var join Join
+	join.Decode([]byte{byte(KindJoin)})
+	g.Expect(join.Missing).To(gomega.BeTrue())
+}
--- a/lib/flows/network_test.go
+++ b/lib/flows/network_test.go
@@ -65,10 +65,12 @@
 // testNetwork simulates a network of directors, dispatchers and backend servers with its own clock.
 type testNetwork struct {
 	agents      []*testAgent
-	delivered   map[Flow]int // number of packets delivered to the backend server that holds the flow
-	hops        int          // messages that led to the one being handled
-	longestPath int          // largest number of messages in a row
+	cut         func(x, y Endpoint) bool // whether packets between two processes are dropped; may be nil
+	delivered   map[Flow]int             // number of packets delivered to the backend server that holds the flow
+	hops        int                      // messages that led to the one being handled
+	longestPath int                      // largest number of messages in a row
 	directors   map[Endpoint]*Director
+	excused     func(owner *testAgent) bool // whether a reset of a living flow breaks no promise now; may be nil
 	inTransit   []testPacket
 	knownOnly   bool    // agents report only to the balancers that know them
 	loss        float64 // probability that a packet is lost
@@ -225,7 +227,8 @@
 func (n *testNetwork) send(p testPacket) {
 	p.hops = n.hops + 1
 	n.longestPath = max(n.longestPath, p.hops)
-	if n.random.Float64() >= n.loss && !n.isUnreachable(p.from) && !n.isUnreachable(p.to) {
+	cut := n.cut != nil && n.cut(p.from, p.to)
+	if n.random.Float64() >= n.loss && !cut && !n.isUnreachable(p.from) && !n.isUnreachable(p.to) {
 		n.inTransit = append(n.inTransit, p)
 	}
 }
@@ -442,6 +445,9 @@
 	if owner.unreachable() && n.now.Sub(owner.unreachableSince) > testLostAfter-testReportInterval {
 		return
 	}
+	if n.excused != nil && n.excused(owner) {
+		return
+	}
 	n.wrongResets = append(n.wrongResets, fmt.Sprintf("%v: %s", flow, reason))
 }
 
--- a/lib/member/directory.go
+++ b/lib/member/directory.go
@@ -119,23 +119,36 @@
 // Leave marks the entry of the process for removal and deletes it, or returns an Unavailable fault, or a Stale fault when the
 // entry changes meanwhile.
 func (d *Directory) Leave(ctx context.Context) error {
-	self := d.config.Self
-	version := d.takeVersion()
-	if version.IsZero() {
-		return d.Remove(ctx, self.Address)
+	marked, err := d.markOwn(ctx)
+	if fault.Is(err, fault.Missing) {
+		return nil
+	}
+	if err != nil {
+		return err
 	}
-	marked, err := d.putMarked(ctx, self, version)
-	if fault.Is(err, fault.Stale) {
-		return d.Remove(ctx, self.Address)
+	return d.config.Store.Delete(ctx, marked.Key, marked.Version)
+}
+
+// markOwn marks the entry of the process for removal, which it reads first unless its version is known, and returns it, or a
+// Missing fault when there is none.
+func (d *Directory) markOwn(ctx context.Context) (store.Object, error) {
+	if version := d.takeVersion(); !version.IsZero() {
+		marked, err := d.putMarked(ctx, d.config.Self, version)
+		if !fault.Is(err, fault.Stale) {
+			return marked, err
+		}
 	}
-	return d.deleteMarked(ctx, marked, err)
+	return d.mark(ctx, d.config.Self.Address)
 }
 
-// Remove marks the entry with the given address for removal and deletes it, with the same faults as Leave. It leaves entries alone
-// that are no valid members.
-func (d *Directory) Remove(ctx context.Context, address netip.AddrPort) error {
-	marked, err := d.mark(ctx, address)
-	return d.deleteMarked(ctx, marked, err)
+// Mark marks the entry of another process, which seems to have failed, for removal, or returns an Unavailable fault. The entry stays
+// on the list, since the process may run where others hear it. It leaves entries alone that are no valid members.
+func (d *Directory) Mark(ctx context.Context, address netip.AddrPort) error {
+	_, err := d.mark(ctx, address)
+	if fault.Is(err, fault.Missing) || fault.Is(err, fault.Stale) {
+		return nil // its process has removed or replaced it
+	}
+	return err
 }
 
 // mark marks an entry for removal unless it is, and returns it, or a Missing fault when there is none.
@@ -164,17 +177,6 @@
 	return d.config.Store.Put(ctx, key(m.Address), value, version)
 }
 
-// deleteMarked deletes a marked entry, if there was one to mark.
-func (d *Directory) deleteMarked(ctx context.Context, marked store.Object, err error) error {
-	if fault.Is(err, fault.Missing) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	return d.config.Store.Delete(ctx, marked.Key, marked.Version)
-}
-
 // HasEntry reports whether the store has the entry of the process, not marked for removal, or returns an Unavailable fault.
 func (d *Directory) HasEntry(ctx context.Context) (bool, error) {
 	object, err := d.config.Store.Get(ctx, key(d.config.Self.Address))
--- a/lib/member/directory_test.go
+++ b/lib/member/directory_test.go
@@ -94,7 +94,7 @@
 	}
 }
 
-func TestRemovedMemberJoinsAgain(t *testing.T) {
+func TestMarkedMemberIsListedAndJoinsAgain(t *testing.T) {
 	g := gomega.NewWithT(t)
 	ctx := context.Background()
 	shared := store.NewMemory()
@@ -104,11 +104,16 @@
 		_, err := directory.Join(ctx, true)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 	}
-	g.Expect(b.Remove(ctx, agent.Address)).To(gomega.Succeed())
-	list, err := b.List(ctx)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(list.Members).To(gomega.ConsistOf(balancer))
-	list, err = a.Join(ctx, false)
+	marked := agent
+	marked.Marked = true
+	for range 2 {
+		g.Expect(b.Mark(ctx, agent.Address)).To(gomega.Succeed())
+		list, err := b.List(ctx)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(list.Members).To(gomega.ConsistOf(marked, balancer))
+		g.Expect(a.HasEntry(ctx)).To(gomega.BeFalse())
+	}
+	list, err := a.Join(ctx, false)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(list.Members).To(gomega.ConsistOf(agent, balancer))
 	g.Expect(a.Leave(ctx)).To(gomega.Succeed())
--- a/lib/member/entryguard.go
+++ b/lib/member/entryguard.go
@@ -11,8 +11,13 @@
 	"github.com/cyclamendock/cyclamendock/lib/store"
 )
 
-// checksPerSecond limits the checks of entries by all members after the store has lost changes.
-const checksPerSecond = 2000
+const (
+	// checksPerSecond limits the checks of entries by all members after the store has lost changes.
+	checksPerSecond = 2000
+	// entryCheckInterval is how often a process checks its entry at the least, so that it replaces one that was marked for removal
+	// before it is deleted.
+	entryCheckInterval = 10 * time.Minute
+)
 
 // EntryGuardConfig configures an EntryGuard.
 type EntryGuardConfig struct {
@@ -23,14 +28,15 @@
 	Store     store.Store
 }
 
-// EntryGuard stores the entry of a process again after the store has lost it with its latest changes. Only the store's own
-// answers show that it has; what other processes state makes the guard ask the store.
+// EntryGuard stores the entry of a process again after the store has lost it with its latest changes, or after it was marked for
+// removal. Only the store's own answers show that; what other processes state makes the guard ask the store.
 type EntryGuard struct {
-	checkedEra uint64 // era of the store at the last check
+	checkDue   time.Time // when the next check is due at the latest; zero before the first Poll
+	checkedEra uint64    // era of the store at the last check; zero when that was too long ago
 	config     EntryGuardConfig
 	due        chan struct{}
 	eras       store.Eras
-	mu         sync.Mutex // guards checkedEra and statedEra
+	mu         sync.Mutex // guards checkDue, checkedEra and statedEra
 	statedEra  uint64     // latest era that another process has stated
 }
 
@@ -48,8 +54,10 @@
 // EraAge returns for how long the latest era has been known.
 func (g *EntryGuard) EraAge(now time.Time) time.Duration { return g.eras.Age(now) }
 
-// Poll records the era that the store has stated last, and reports whether the store has lost changes since the last call.
+// Poll records the era that the store has stated last, and reports whether the store has lost changes since the last call. It must be
+// called regularly.
 func (g *EntryGuard) Poll(now time.Time) bool {
+	g.pollInterval(now)
 	era := g.config.Store.Era()
 	if !g.eras.Record(now, era) {
 		return false
@@ -59,6 +67,23 @@
 	return true
 }
 
+// pollInterval requests a check when the last one is too long ago. The interval is drawn anew each time, so that processes that have
+// started together don't check together.
+func (g *EntryGuard) pollInterval(now time.Time) {
+	g.mu.Lock()
+	due := !g.checkDue.IsZero() && !now.Before(g.checkDue)
+	if due || g.checkDue.IsZero() {
+		g.checkDue = now.Add(entryCheckInterval/2 + rand.N(entryCheckInterval/2))
+	}
+	if due {
+		g.checkedEra = 0
+	}
+	g.mu.Unlock()
+	if due {
+		g.request()
+	}
+}
+
 // RecordStated records an era that another process has stated. If it is later than what the store has stated here, a check
 // becomes due, which asks the store.
 func (g *EntryGuard) RecordStated(era uint64) {
@@ -72,7 +97,7 @@
 }
 
 // Check reads the entry of the process, at a random moment so that all members together stay within what the store can read,
-// and registers the process again if the entry is missing. It retries until that succeeds or the context ends.
+// and registers the process again if the entry is missing or marked for removal. It retries until that succeeds or the context ends.
 func (g *EntryGuard) Check(ctx context.Context) {
 	if g.isChecked() {
 		return
@@ -97,7 +122,7 @@
 	}
 	era := g.config.Store.Era()
 	if !listed {
-		g.config.Log.Info("The entry of this process was lost.", logs.Fields{"era": era})
+		g.config.Log.Info("The entry of this process was lost or marked for removal.", logs.Fields{"era": era})
 		g.setListed(false)
 		if err := g.config.Directory.Register(ctx); err != nil {
 			return err
--- a/lib/member/late_test.go
+++ b/lib/member/late_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -65,26 +66,46 @@
 	reader, _ := newTestDirectory(shared, balancer)
 	_, err := silent.Join(ctx, true)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(reader.Remove(ctx, agent.Address)).NotTo(gomega.Succeed())
+	g.Expect(reader.Mark(ctx, agent.Address)).To(gomega.Succeed())
+	purger := NewPurger(shared)
+	_, err = purger.Purge(ctx, time.Unix(0, 0))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = purger.Purge(ctx, time.Unix(0, 0).Add(removalAge))
+	g.Expect(err).To(gomega.HaveOccurred())
 	_, err = silent.Join(ctx, false)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	shared.ExecuteLate(0)
 	g.Expect(silent.HasEntry(ctx)).To(gomega.BeTrue())
 }
 
-// churn plays one agent's processes, which join, leave and restart, and a balancer that removes the agent, on a store that loses,
-// refuses and delays writes.
+// churn plays one agent's processes, which join, leave and restart, and balancers that mark and purge the agent's entry, on a store
+// that loses and delays writes.
 type churn struct {
-	ctx    context.Context
-	joined bool // the running process relies on its entry
-	self   *Directory
-	other  *Directory
-	shared *flaky.Store
+	checkedAt time.Time // when the running process last found or stored its entry
+	ctx       context.Context
+	joined    bool // the running process relies on its entry
+	now       time.Time
+	other     *Directory
+	purger    *Purger
+	self      *Directory
+	shared    *flaky.Store
 }
 
 func (c *churn) join(first bool) {
 	_, err := c.self.Join(c.ctx, first)
 	c.joined = err == nil
+	c.checkedAt = c.now
+}
+
+// wait lets time pass; a joined process checks its entry in time, as its guard does, until the store answers.
+func (c *churn) wait(d time.Duration) {
+	c.now = c.now.Add(d)
+	if !c.joined || c.now.Sub(c.checkedAt) < entryCheckInterval {
+		return
+	}
+	for c.joined = false; !c.joined; {
+		c.join(false)
+	}
 }
 
 func (c *churn) leave() {
@@ -98,7 +119,8 @@
 	c.self, _ = newTestDirectory(c.shared, agent)
 }
 
-// Guards against every order of joins, leaves, restarts and late writes in which the entry that a process relies on goes.
+// Guards against every order of joins, leaves, restarts, marks, purges and late writes in which the entry that a process relies on
+// goes.
 func TestEntryOfAJoinedProcessOutlivesAllLateWrites(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		shared := flaky.New(store.NewMemory(), func(call string) flaky.Fault {
@@ -107,7 +129,7 @@
 			}
 			return rapid.SampledFrom([]flaky.Fault{flaky.NoFault, flaky.RequestLost, flaky.ResponseLost, flaky.ExecutedLate}).Draw(t, call)
 		})
-		c := &churn{ctx: context.Background(), shared: shared}
+		c := &churn{ctx: context.Background(), now: time.Unix(0, 0), purger: NewPurger(shared), shared: shared}
 		c.other, _ = newTestDirectory(shared, balancer)
 		c.restart()
 		t.Repeat(map[string]func(*rapid.T){
@@ -115,6 +137,13 @@
 			"joinAgain": func(*rapid.T) { c.join(false) },
 			"leave":     func(*rapid.T) { c.leave() },
 			"restart":   func(*rapid.T) { c.restart() },
+			"mark":      func(*rapid.T) { _ = c.other.Mark(c.ctx, agent.Address) }, // a lost answer changes nothing here
+			"purge":     func(*rapid.T) { _, _ = c.purger.Purge(c.ctx, c.now) },    // nor does it here
+			"wait": func(t *rapid.T) {
+				for range rapid.IntRange(1, 4).Draw(t, "checks") {
+					c.wait(entryCheckInterval)
+				}
+			},
 			"executeLate": func(t *rapid.T) {
 				if count := shared.LateCount(); count > 0 {
 					shared.ExecuteLate(rapid.IntRange(0, count-1).Draw(t, "which"))
--- a/standin/tuple/cluster.go
+++ b/standin/tuple/cluster.go
@@ -44,9 +44,10 @@
 type ClusterConfig struct {
 	Agents      int
 	Balancers   int
-	Network     byte   // second byte of the hosts' loopback addresses; clusters that run at once need different ones
-	ProgramPath string // path of the platform program, which runs balancers and agents
-	WorkDir     string // folder for settings and logs
+	LostAfter   time.Duration // balancers' setting lostAfter; its default when zero
+	Network     byte          // second byte of the hosts' loopback addresses; clusters that run at once need different ones
+	ProgramPath string        // path of the platform program, which runs balancers and agents
+	WorkDir     string        // folder for settings and logs
 }
 
 // Cluster runs balancers and agents as processes, together with simulated callers, backend servers and object store.
@@ -191,7 +192,7 @@
 	var balancers []netip.AddrPort
 	for i := range c.config.Balancers {
 		balancers = append(balancers, c.Balancer(i))
-		if err := c.startProcess("balancer", 1, i, nil); err != nil {
+		if err := c.startProcess("balancer", 1, i, c.balancerSettings()); err != nil {
 			return err
 		}
 	}
@@ -232,6 +233,14 @@
 	})
 }
 
+// balancerSettings returns the settings that balancers have besides those of all processes.
+func (c *Cluster) balancerSettings() map[string]any {
+	if c.config.LostAfter == 0 {
+		return nil
+	}
+	return map[string]any{"lostAfter": c.config.LostAfter.String()}
+}
+
 // startProcess writes the settings of a balancer or an agent and starts its process behind a proxy to the store.
 func (c *Cluster) startProcess(role string, group byte, i int, extraSettings map[string]any) error {
 	host := c.host(group, i)
--- a/standin/tuple/cluster_test.go
+++ b/standin/tuple/cluster_test.go
@@ -19,12 +19,19 @@
 const requestTimeout = 5 * time.Second
 
 func startTestCluster(t *testing.T, network byte) *Cluster {
+	t.Helper()
+	return startCluster(t, ClusterConfig{Agents: 4, Balancers: 3, Network: network})
+}
+
+// startCluster starts a cluster of the real programs until the end of the test.
+func startCluster(t *testing.T, config ClusterConfig) *Cluster {
 	t.Helper()
 	program, err := filepath.Abs("../../bin/platform")
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := NewCluster(ClusterConfig{Agents: 4, Balancers: 3, Network: network, ProgramPath: program, WorkDir: t.TempDir()})
+	config.ProgramPath, config.WorkDir = program, t.TempDir()
+	c, err := NewCluster(config)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/tuple/objectstore.go
+++ b/standin/tuple/objectstore.go
@@ -100,6 +100,13 @@
 	return names
 }
 
+// Spec returns the content of an object, or nothing when there is none.
+func (o *ObjectStore) Spec(kind, name string) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return string(o.objects[kind+"/"+name].Spec)
+}
+
 // SetFault replaces the faults that the store injects.
 func (o *ObjectStore) SetFault(fault StoreFault) {
 	o.mu.Lock()
