Send several hellos to a silent agent before it counts as lost

After a cut of 2 s an agent could still be lost to a balancer 4 s later, and flows of it that came to that balancer were reset.

Cause: hellos to a silent agent were up to 2 s apart. Between the end of a short cut and lostAfter one hello fitted in, and a single lost datagram used it up.

Why it works: hellos are at most 0.5 s apart until an agent is dormant, so that eight of them have to be lost. A dormant agent gets one each 2 s as before; when it answers anybody, it reports to all balancers.

--- a/lib/flows/liveness.go
+++ b/lib/flows/liveness.go
@@ -12,8 +12,11 @@
 	dormantLifetime = time.Hour
 	// markedPatience is how long an agent whose entry is marked for removal may take to answer the first hellos.
 	markedPatience = time.Second
-	// maxHelloInterval is the longest interval between hellos to one agent.
-	maxHelloInterval = 2 * time.Second
+	// dormantHelloInterval is the interval between hellos to an agent that is dormant or not ready.
+	dormantHelloInterval = 2 * time.Second
+	// maxHelloInterval is the longest interval between hellos to a silent agent. It leaves time for several of them between the end
+	// of a cut and lostAfter, since datagrams get lost.
+	maxHelloInterval = 500 * time.Millisecond
 	// minHelloInterval is the first interval between hellos to one agent; it doubles with each hello.
 	minHelloInterval = 50 * time.Millisecond
 	// reportGrace is how long the report of an agent that was sent a packet may be overdue before the agent is suspect.
@@ -48,6 +51,9 @@
 		}
 		agent.lastHello = now
 		agent.helloInterval = min(agent.helloInterval*2, maxHelloInterval)
+		if agent.dormant {
+			agent.helloInterval = dormantHelloInterval
+		}
 		if !agent.reportPending {
 			agent.helloPending = true
 			agent.reportPending = true
@@ -65,7 +71,7 @@
 		return true
 	}
 	silence := now.Sub(agent.lastReport)
-	if agent.report.State != StateReady && silence > maxHelloInterval {
+	if agent.report.State != StateReady && silence > dormantHelloInterval {
 		return true
 	}
 	return silence > staleAfter && now.Sub(a.lastUsed[agent.report.Service]) < serviceUseWindow
