Let an odd entry of another writer lose only itself

One deeply nested object, or one with a revision too large, among the members made every list of them fail: processes that start never join, no flow is proved ended, status prints nothing. Beside the configuration it cut balancers off from its watch. One announcement with a start years ahead or 2^62 slots cost a backend server its flows, or gave it all of them. No process ended by itself.

Cause: answers of the store were decoded as a whole, and values that could be decoded were believed beyond what makes sense: IPv6 addresses and port 0 of members, entries under another name than their address gives, any number of an announcement.

--- a/balancer/tuple/sync.go
+++ b/balancer/tuple/sync.go
@@ -120,7 +120,7 @@
 	var addresses []netip.AddrPort
 	for _, text := range texts {
 		address, err := netip.ParseAddrPort(text)
-		if err != nil || !address.Addr().Is4() {
+		if err != nil || !address.Addr().Is4() || address.Port() == 0 {
 			n.config.Ignored.Record(now, netio.InputMessage, text, "no IPv4 address with a port")
 			continue
 		}
--- a/lib/member/directory.go
+++ b/lib/member/directory.go
@@ -89,7 +89,7 @@
 			list.Complete = marksEra(object)
 			continue
 		}
-		member, ok := decode(object.Value)
+		member, ok := decode(object)
 		if !ok {
 			d.config.Ignored.Record(time.Now(), netio.InputMember, object.Key, "the entry is not a valid member")
 			continue
@@ -157,7 +157,7 @@
 	if err != nil {
 		return store.Object{}, err
 	}
-	m, ok := decode(object.Value)
+	m, ok := decode(object)
 	switch {
 	case !ok:
 		return store.Object{}, fault.New(fault.Missing, "the entry "+object.Key+" is not a valid member", "nothing; its writer owns it")
@@ -233,6 +233,6 @@
 
 // isOwnEntry reports whether an object is the entry of the process.
 func (d *Directory) isOwnEntry(object store.Object) bool {
-	existing, ok := decode(object.Value)
+	existing, ok := decode(object)
 	return ok && existing == d.config.Self
 }
--- a/lib/member/directory_test.go
+++ b/lib/member/directory_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -77,11 +78,22 @@
 	g := gomega.NewWithT(t)
 	ctx := context.Background()
 	shared := store.NewMemory()
-	for name, value := range map[string]string{
-		"garbage":  `{`,
-		"nowhere":  `{"address":"nowhere","role":"agent"}`,
-		"stranger": `{"address":"10.1.0.9:7000","role":"router"}`,
-	} {
+	invalid := map[string]string{
+		"10-1-0-10-0":      `{"address":"10.1.0.10:0","role":"agent"}`,
+		"10-1-0-11-70000":  `{"address":"10.1.0.11:70000","role":"agent"}`,
+		"10-1-0-9-7000":    `{"address":"10.1.0.9:7000","role":"router"}`,
+		"[--1]-7000":       `{"address":"[::1]:7000","role":"balancer"}`,
+		"0-0-0-0-7000":     `{"address":"0.0.0.0:7000","role":"agent"}`,
+		"224-0-0-1-7000":   `{"address":"224.0.0.1:7000","role":"agent"}`,
+		"another":          `{"address":"10.1.0.12:7000","role":"agent"}`,
+		"deeply-nested":    strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+		"garbage":          `{`,
+		"large-number":     `{"address":1e400,"role":"agent"}`,
+		"nowhere":          `{"address":"nowhere","role":"agent"}`,
+		"numbers-for-text": `{"address":7,"role":7}`,
+		"unreadable":       "\xff\xfe",
+	}
+	for name, value := range invalid {
 		_, err := shared.Put(ctx, Prefix+name, []byte(value), store.Version{})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 	}
@@ -89,7 +101,7 @@
 	list, err := directory.Join(ctx, true)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(list.Members).To(gomega.ConsistOf(agent))
-	for _, name := range []string{"garbage", "nowhere", "stranger"} {
+	for name := range invalid {
 		g.Expect(logged.String()).To(gomega.ContainSubstring(Prefix + name))
 	}
 }
--- a/lib/member/entry.go
+++ b/lib/member/entry.go
@@ -35,15 +35,23 @@
 	return value, nil
 }
 
-// decode decodes a stored member and reports whether it is valid.
-func decode(value []byte) (Member, bool) {
+// decode decodes a stored member and reports whether it is valid. Other entries come from another writer: no message can be sent to
+// their address, or it is that of another entry.
+func decode(object store.Object) (Member, bool) {
 	var stored storedMember
-	if err := json.Unmarshal(value, &stored); err != nil {
+	if err := json.Unmarshal(object.Value, &stored); err != nil {
 		return Member{}, false
 	}
 	address, err := netip.ParseAddrPort(stored.Address)
 	role := Role(stored.Role)
-	if err != nil || role != RoleAgent && role != RoleBalancer {
+	switch {
+	case err != nil || !address.Addr().Is4() || address.Port() == 0:
+		return Member{}, false
+	case address.Addr().IsUnspecified() || address.Addr().IsMulticast():
+		return Member{}, false
+	case role != RoleAgent && role != RoleBalancer:
+		return Member{}, false
+	case object.Key != key(address):
 		return Member{}, false
 	}
 	return Member{Address: address, Marked: stored.Marked, Role: role}, true
--- a/lib/member/purger.go
+++ b/lib/member/purger.go
@@ -37,7 +37,7 @@
 	sightings := map[string]sighting{}
 	var purged []Member
 	for _, object := range objects {
-		m, ok := decode(object.Value)
+		m, ok := decode(object)
 		if !ok || !m.Marked {
 			continue
 		}
--- a/lib/netio/ignoredinputs.go
+++ b/lib/netio/ignoredinputs.go
@@ -20,6 +20,7 @@
 	InputConfiguration Input = "configuration"
 	InputMember        Input = "member"
 	InputMessage       Input = "message"
+	InputObject        Input = "object" // in the store
 	InputServerPacket  Input = "serverPacket"
 	InputUntrusted     Input = "untrusted" // a message from an address that is not trusted
 )
--- a/standin/tuple/objectstore.go
+++ b/standin/tuple/objectstore.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -40,7 +42,7 @@
 
 // Meta identifies an object and its revision, which the store assigns.
 type Meta struct {
-	Name     string `json:"name"`
+	Name     string `json:"name"` // letters, digits and dashes
 	Revision uint64 `json:"revision"`
 }
 
@@ -86,6 +88,13 @@
 	o.put(kind, Object{Meta: Meta{Name: name}, Spec: value})
 }
 
+// SetRaw writes an object of another writer, whose content need not be valid.
+func (o *ObjectStore) SetRaw(kind, name, spec string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.put(kind, Object{Meta: Meta{Name: name}, Spec: json.RawMessage(spec)})
+}
+
 // Names returns the sorted names of all objects of a kind.
 func (o *ObjectStore) Names(kind string) []string {
 	o.mu.Lock()
@@ -216,7 +225,11 @@
 	if more {
 		items = items[:pageSize]
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"as_of": o.revision, "has_more": more, "items": items})
+	bodies := make([]string, len(items))
+	for i, item := range items {
+		bodies[i] = item.encode()
+	}
+	writeBody(w, http.StatusOK, fmt.Sprintf(`{"as_of":%d,"has_more":%t,"items":[%s]}`, o.revision, more, strings.Join(bodies, ",")))
 }
 
 func (o *ObjectStore) read(w http.ResponseWriter, key string) {
@@ -228,7 +241,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	writeJSON(w, http.StatusOK, object)
+	writeBody(w, http.StatusOK, object.encode())
 }
 
 func (o *ObjectStore) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -256,13 +269,13 @@
 			return
 		}
 		if len(events) > 0 {
-			writeJSON(w, http.StatusOK, map[string]any{"as_of": revision, "events": events})
+			writeBody(w, http.StatusOK, encodeEvents(revision, events))
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			writeJSON(w, http.StatusOK, map[string]any{"as_of": revision, "events": []Event{}})
+			writeBody(w, http.StatusOK, encodeEvents(revision, nil))
 			return
 		case <-r.Context().Done():
 			return
@@ -307,7 +320,7 @@
 		<-r.Context().Done()
 		return
 	}
-	writeJSON(w, status, object)
+	writeBody(w, status, object.encode())
 }
 
 // applyLate executes a write whose request got no response.
@@ -358,10 +371,28 @@
 	o.changed = make(chan struct{})
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
+// encode returns the object as JSON, with its content as it was written.
+func (o Object) encode() string {
+	spec := string(o.Spec)
+	if spec == "" {
+		spec = "null"
+	}
+	return fmt.Sprintf(`{"meta":{"name":%q,"revision":%d},"spec":%s}`, o.Meta.Name, o.Meta.Revision, spec)
+}
+
+// encodeEvents returns events as the JSON body of the response to a watch.
+func encodeEvents(revision uint64, events []Event) string {
+	bodies := make([]string, len(events))
+	for i, event := range events {
+		bodies[i] = fmt.Sprintf(`{"deleted":%t,"object":%s}`, event.Deleted, event.Object.encode())
+	}
+	return fmt.Sprintf(`{"as_of":%d,"events":[%s]}`, revision, strings.Join(bodies, ","))
+}
+
+func writeBody(w http.ResponseWriter, status int, body string) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body) // fails only when the client has disconnected
+	_, _ = io.WriteString(w, body) // fails only when the client has disconnected
 }
 
 var _ http.Handler = (*ObjectStore)(nil)
