Let a malformed record of a zone lose only itself

What callers would have seen: nothing at once; a balancer or agent of a QUIC deployment that starts would know none of a zone's members, or would take a record without a name for one.

Port 0 counted as an address.

Why it works: the decoder returns the well-formed records and says that others were not; starts log that and use the rest. Datagrams with a malformed record are still refused whole.

--- a/agent/node/config.go
+++ b/agent/node/config.go
@@ -36,7 +36,10 @@
 	}
 	var balancers []fleet.Record
 	for _, object := range objects {
-		decoded, _ := fleet.DecodeRecords(object.Value)
+		decoded, ok := fleet.DecodeRecords(object.Value)
+		if !ok {
+			n.Log.Warn("A zone's object holds malformed records.", logs.Fields{"key": object.Key})
+		}
 		for _, entry := range decoded {
 			if entry.Record.Role == fleet.RoleBalancer && entry.Record.State != fleet.StateDown {
 				balancers = append(balancers, entry.Record)
--- a/balancer/node/platform.go
+++ b/balancer/node/platform.go
@@ -28,9 +28,11 @@
 		n.recordPlatformAnswer()
 	}
 	for _, object := range objects {
-		if records, ok := fleet.DecodeRecords(object.Value); ok {
-			n.state.withLock(func() { n.state.merge(now, records) })
+		records, ok := fleet.DecodeRecords(object.Value)
+		if !ok {
+			n.Log.Warn("A zone's object holds malformed records.", logs.Fields{"key": object.Key})
 		}
+		n.state.withLock(func() { n.state.merge(now, records) })
 	}
 	var version uint64
 	n.state.withLock(func() { version = n.state.version() })
--- a/lib/fleet/codec.go
+++ b/lib/fleet/codec.go
@@ -83,7 +83,7 @@
 		return true
 	})
 	r := entry.Record
-	valid := r.Name != "" && r.Incarnation > 0 && r.Address.IsValid()
+	valid := r.Name != "" && r.Incarnation > 0 && r.Address.IsValid() && r.Address.Port() != 0
 	valid = valid && r.State >= StateAlive && r.State <= StateDown && r.Role >= RoleAgent && r.Role <= RoleBalancer
 	return entry, ok && valid
 }
@@ -127,15 +127,21 @@
 	return dst
 }
 
-// DecodeRecords decodes the output of EncodeRecords and reports false when the input is malformed.
+// DecodeRecords decodes the output of EncodeRecords. It returns all well-formed records and reports false when others, or the rest of
+// the input, are malformed.
 func DecodeRecords(b []byte) ([]AgedRecord, bool) {
 	var records []AgedRecord
+	allValid := true
 	ok := proto.Decode(b, func(f proto.Field) bool {
 		entry, valid := decodeRecord(f.Bytes)
-		records = append(records, entry)
-		return valid && f.Number == recordsItem
+		if valid && f.Number == recordsItem {
+			records = append(records, entry)
+		} else {
+			allValid = false
+		}
+		return true
 	})
-	return records, ok
+	return records, ok && allValid
 }
 
 // AppendRecords appends a datagram with the records; kind is KindAnnounce or KindGossip.
