Replace or mark the own entry at the version that a list has shown

Cause: a process whose entry was marked for removal made three calls to replace it (create, read, replace), although the list before had shown its version; a leave read it once more. Calls to the store are the greatest price. Change: the directory remembers the version of its own entry from lists and writes, and whether the entry is current; any write forgets it first.

--- a/lib/member/directory.go
+++ b/lib/member/directory.go
@@ -54,9 +54,15 @@
 // An entry is removed in two steps: it is marked for removal, and only a version that is marked is ever deleted. A process never
 // relies on a marked entry, but replaces it. So a delete that the store executes late removes no entry that a process relies on.
 type Directory struct {
-	config  Config
-	mu      sync.Mutex    // guards version
-	version store.Version // version of the process's entry as last read or written; zero when not known
+	config Config
+	mu     sync.Mutex // guards own
+	own    ownEntry
+}
+
+// ownEntry is what a process knows of its entry.
+type ownEntry struct {
+	current bool          // the entry was valid and not marked for removal
+	version store.Version // as last read or written; zero when not known
 }
 
 // NewDirectory returns the directory of a process that is not registered yet.
@@ -84,7 +90,12 @@
 		return List{}, err
 	}
 	var list List
+	var own ownEntry
+	ownKey := key(d.config.Self.Address)
 	for _, object := range objects {
+		if object.Key == ownKey {
+			own = ownEntry{current: d.isOwnEntry(object), version: object.Version}
+		}
 		if object.Key == Prefix+markerName {
 			list.Complete = marksEra(object)
 			continue
@@ -94,11 +105,9 @@
 			d.config.Ignored.Record(time.Now(), netio.InputMember, object.Key, "the entry is not a valid member")
 			continue
 		}
-		if member == d.config.Self {
-			d.setVersion(object.Version)
-		}
 		list.Members = append(list.Members, member)
 	}
+	d.setOwn(own)
 	return list, nil
 }
 
@@ -132,8 +141,8 @@
 // markOwn marks the entry of the process for removal, which it reads first unless its version is known, and returns it, or a
 // Missing fault when there is none.
 func (d *Directory) markOwn(ctx context.Context) (store.Object, error) {
-	if version := d.takeVersion(); !version.IsZero() {
-		marked, err := d.putMarked(ctx, d.config.Self, version)
+	if own := d.takeOwn(); !own.version.IsZero() {
+		marked, err := d.putMarked(ctx, d.config.Self, own.version)
 		if !fault.Is(err, fault.Stale) {
 			return marked, err
 		}
@@ -196,13 +205,25 @@
 	if err != nil {
 		return err
 	}
-	object, err := d.replace(ctx, key(d.config.Self.Address), value, d.isOwnEntry)
+	object, err := d.replaceOwn(ctx, value)
 	if err == nil {
-		d.setVersion(object.Version)
+		d.setOwn(ownEntry{current: true, version: object.Version})
 	}
 	return err
 }
 
+// replaceOwn stores the entry of the process, in one call if the version of one that must be replaced is known.
+func (d *Directory) replaceOwn(ctx context.Context, value []byte) (store.Object, error) {
+	ownKey := key(d.config.Self.Address)
+	if own := d.takeOwn(); !own.current && !own.version.IsZero() {
+		object, err := d.config.Store.Put(ctx, ownKey, value, own.version)
+		if !fault.Is(err, fault.Stale) && !fault.Is(err, fault.Missing) {
+			return object, err
+		}
+	}
+	return d.replace(ctx, ownKey, value, d.isOwnEntry)
+}
+
 // replace creates an object, or replaces an existing one that is not up to date, and returns what is stored then.
 func (d *Directory) replace(ctx context.Context, key string, value []byte, isCurrent func(store.Object) bool) (store.Object, error) {
 	object, err := d.config.Store.Put(ctx, key, value, store.Version{})
@@ -216,19 +237,19 @@
 	return d.config.Store.Put(ctx, key, value, object.Version)
 }
 
-func (d *Directory) setVersion(version store.Version) {
+func (d *Directory) setOwn(own ownEntry) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.version = version
+	d.own = own
 }
 
-// takeVersion returns the last known version of the process's entry, which is not known from then on, as it is about to change.
-func (d *Directory) takeVersion() store.Version {
+// takeOwn returns what is known of the process's entry, which is not known from then on, as it is about to change.
+func (d *Directory) takeOwn() ownEntry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	version := d.version
-	d.version = store.Version{}
-	return version
+	own := d.own
+	d.own = ownEntry{}
+	return own
 }
 
 // isOwnEntry reports whether an object is the entry of the process.
--- a/lib/member/directory_test.go
+++ b/lib/member/directory_test.go
@@ -28,6 +28,17 @@
 	return NewDirectory(Config{Ignored: ignored, Self: self, Store: shared}), &logged
 }
 
+// writeCounter counts writes, other than deletes.
+type writeCounter struct {
+	*store.Memory
+	puts int
+}
+
+func (w *writeCounter) Put(ctx context.Context, key string, value []byte, expected store.Version) (store.Object, error) {
+	w.puts++
+	return w.Memory.Put(ctx, key, value, expected)
+}
+
 func TestSecondMemberToJoinSeesBoth(t *testing.T) {
 	g := gomega.NewWithT(t)
 	ctx := context.Background()
@@ -125,10 +136,14 @@
 		g.Expect(list.Members).To(gomega.ConsistOf(marked, balancer))
 		g.Expect(a.HasEntry(ctx)).To(gomega.BeFalse())
 	}
+	writes := &writeCounter{Memory: shared}
+	a.config.Store = writes
 	list, err := a.Join(ctx, false)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(list.Members).To(gomega.ConsistOf(agent, balancer))
+	g.Expect(writes.puts).To(gomega.Equal(1), "the list gives the version to replace")
 	g.Expect(a.Leave(ctx)).To(gomega.Succeed())
+	g.Expect(writes.puts).To(gomega.Equal(2), "the version to mark is known")
 	list, err = b.List(ctx)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(list.Members).To(gomega.ConsistOf(balancer))
