Let a replaced entry outweigh a balancer's own view of a dormant agent

A balancer that has given an agent up, or learnt of it by a marked entry only, took no notice when the list showed that the agent had replaced the entry, and went on taking it for lost until it heard it. And an agent learnt by a marked entry counted as awake for 8 s: others that had given it up heard of it again, and with many failed hosts on the list none of them ever became dormant at a balancer that had just started.

Change: an agent that is added by a marked entry is dormant at once and waited for markedPatience; one that has replaced a marked entry is waited for anew.

--- a/lib/flows/agents.go
+++ b/lib/flows/agents.go
@@ -37,7 +37,7 @@
 // Agents tracks the reports and the liveness of all agents for one balancer.
 type Agents struct {
 	byAddress  map[Endpoint]*agentState
-	byService  map[NameHash][]*agentState  // only agents that have reported and are not dormant
+	byService  map[NameHash][]*agentState  // only agents that have reported and were not made dormant since
 	hash       uint64                      // of the addresses of all agents that are not dormant, in any order
 	lastReport time.Time                   // time of the last report of any agent
 	lastUsed   map[NameHash]time.Time      // time of the last packet for each service
@@ -74,18 +74,26 @@
 }
 
 // AddListed adds the address of an agent on a list of members that was requested from the store at the given time; marked tells
-// whether its entry is marked for removal. An address whose agent left before that belongs to a new agent, since an agent removes
+// whether its entry is marked for removal. An agent that is added so is dormant. One that has replaced a marked entry runs, so that
+// it counts as silent only from now on. An address whose agent left before that belongs to a new agent, since an agent removes
 // itself from the store before it reports StateLeft.
 func (a *Agents) AddListed(now, requestedAt time.Time, address Endpoint, marked bool) {
 	if leftAt, ok := a.leftAt.Get(now, address); ok && requestedAt.After(leftAt) {
 		a.leftAt.Delete(address)
 	}
-	a.Add(now, address)
+	added := a.Add(now, address)
 	agent := a.byAddress[address]
 	if agent == nil {
 		return
 	}
+	replaced := agent.marked && !marked
 	agent.marked = marked
+	switch {
+	case added && marked:
+		a.makeDormant(agent)
+	case agent.dormant && replaced:
+		a.revive(now, agent)
+	}
 	if agent.listing == ListingUnknown && !marked {
 		agent.listing = ListingConfirmed
 	}
--- a/lib/flows/agents_test.go
+++ b/lib/flows/agents_test.go
@@ -85,9 +85,11 @@
 		hellos += len(a.DueHellos(now.Add(elapsed)))
 	}
 	g.Expect(hellos).To(gomega.BeNumerically(">=", 2*4), "lost hellos make no agent lost")
+	g.Expect(a.Addresses()).To(gomega.Equal([]Endpoint{other}), "other balancers don't learn of it here")
 	g.Expect(a.MustJoin(marked, Report{State: StateGone})).To(gomega.BeFalse(), "it leaves by itself")
 	g.Expect(a.MustJoin(marked, Report{State: StateReady})).To(gomega.BeTrue())
 	g.Expect(a.MustJoin(other, Report{State: StateReady})).To(gomega.BeFalse())
+	g.Expect(a.Lost(now.Add(time.Minute), marked)).To(gomega.BeTrue())
 	a.RecordReport(now, marked, Report{Service: HashName(testService), State: StateReady})
 	a.ExpectReport(now, marked, false)
 	g.Expect(a.Lost(now.Add(testLostAfter), marked)).To(gomega.BeFalse(), "it was heard here")
@@ -123,6 +125,36 @@
 	g.Expect(a.Unlisted(later, listed)).To(gomega.Equal([]Endpoint{testEndpoint(2, 0)}))
 }
 
+// Guards against a balancer that has given an agent up and takes no notice of the list, which shows that the agent runs.
+func TestAgentThatHasReplacedItsMarkedEntryIsWaitedFor(t *testing.T) {
+	for name, heardBefore := range map[string]bool{"heard before": true, "never heard": false} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			now := time.Unix(0, 0)
+			a := reportedAgents(now, 3)
+			returned := testEndpoint(2, 0)
+			if !heardBefore {
+				a.Remove(returned)
+			}
+			a.ExpectReport(now, returned, false)
+			a.keepReporting(now, now.Add(2*testLostAfter+fastReportInterval), testEndpoint(2, 1))
+			now = now.Add(2*testLostAfter + fastReportInterval)
+			a.GiveUpSilent(now)
+			a.AddListed(now, now, returned, true)
+			now = now.Add(markedPatience + 1)
+			g.Expect(a.Dormant(returned)).To(gomega.BeTrue())
+			g.Expect(a.Lost(now, returned)).To(gomega.BeTrue())
+			hash := a.Hash()
+			a.AddListed(now, now, returned, false)
+			g.Expect(a.Hash()).NotTo(gomega.Equal(hash))
+			g.Expect(a.DueHellos(now.Add(reportGrace + 1))).To(gomega.ContainElement(returned))
+			responsive, silent := a.holders(now.Add(testLostAfter), HashName(testService), testFlow(1), nil)
+			g.Expect(append(responsive, silent...)).To(gomega.ContainElement(returned))
+			g.Expect(a.Lost(now.Add(testLostAfter+1), returned)).To(gomega.BeTrue())
+		})
+	}
+}
+
 func TestHelloIntervalGrowsForSilentAgent(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Unix(0, 0)
--- a/lib/flows/liveness.go
+++ b/lib/flows/liveness.go
@@ -51,7 +51,7 @@
 		}
 		agent.lastHello = now
 		agent.helloInterval = min(agent.helloInterval*2, maxHelloInterval)
-		if agent.dormant {
+		if agent.dormant && a.lost(now, agent) {
 			agent.helloInterval = dormantHelloInterval
 		}
 		if !agent.reportPending {
@@ -86,16 +86,21 @@
 // Lost reports whether an agent is not in the set, or silent for so long that callers have given up on its flows.
 func (a *Agents) Lost(now time.Time, address Endpoint) bool {
 	agent := a.byAddress[address]
-	return agent == nil || agent.dormant || agent.reportPending && now.Sub(agent.pendingSince) > a.patience(agent)
+	return agent == nil || a.lost(now, agent)
 }
 
-// patience returns how long an agent may be silent before it is lost. One whose entry is marked for removal has been silent to
-// another balancer for long, so that it has only the time to answer hellos before its first report here.
-func (a *Agents) patience(agent *agentState) time.Duration {
-	if agent.marked && agent.lastReport.IsZero() {
-		return markedPatience
+// lost reports whether an agent has been silent for too long. One whose entry is marked for removal has been silent to another
+// balancer for long, so that it has only the time to answer some hellos before its first report here.
+func (a *Agents) lost(now time.Time, agent *agentState) bool {
+	silence := now.Sub(agent.pendingSince)
+	switch {
+	case agent.marked && agent.lastReport.IsZero():
+		return silence > markedPatience
+	case agent.dormant:
+		return true
+	default:
+		return agent.reportPending && silence > a.lostAfter
 	}
-	return a.lostAfter
 }
 
 // Unreachable reports whether an agent is overdue with its report, and no agent has reported for as long as those in use
@@ -207,6 +212,17 @@
 	a.removeFromService(agent)
 }
 
+// revive ends the dormancy of an agent that has not reported here yet but is known to run.
+func (a *Agents) revive(now time.Time, agent *agentState) {
+	a.wake(agent)
+	if !agent.lastReport.IsZero() {
+		a.byService[agent.report.Service] = append(a.byService[agent.report.Service], agent)
+	}
+	agent.helloInterval = minHelloInterval
+	agent.pendingSince = now
+	agent.reportPending = true
+}
+
 // wake ends the dormancy of an agent and reports whether it was dormant; the caller adds it to its service.
 func (a *Agents) wake(agent *agentState) bool {
 	if !agent.dormant {
