--- a/agent/tuple/members.go
+++ b/agent/tuple/members.go
@@ -22,8 +22,8 @@
 )
 
 // runMembers joins the member list and subscribes the balancers in it to reports. It joins again whenever a balancer
-// reports that this agent is not listed, or may be marked for removal. It leaves the list when the backend server has ended for good and joins again
-// with the next backend server.
+// reports that this agent is not listed, or that its entry may be marked for removal. It leaves the list when the backend
+// server has ended for good and joins again with the next backend server.
 func (n *Node) runMembers() {
 	n.joinAtStart()
 	joinRequested := n.joinRequested
--- a/standin/local/slowdown_test.go
+++ b/standin/local/slowdown_test.go
@@ -41,8 +41,15 @@
 		gomega.Expect(float64(slowed["termine-1"])).To(gomega.BeNumerically("<=", 1.2*fairShare/5),
 			"new flows %v\nbefore %v\nafter  %v", slowed, before, describeMembers(cluster, "termine-"))
 		gomega.Expect(cluster.SetServerFaults("termine-1", server.Faults{Slowdown: 1})).To(gomega.Succeed())
-		gomega.Eventually(func() int { return openFeeds(cluster, "termine", 30)["termine-1"] }, 2*eventuallyTimeout).
-			Should(gomega.BeNumerically(">", 0))
+		var polls []string
+		recoveredAt := time.Now()
+		gomega.Eventually(func() int {
+			started := time.Now()
+			opened := openFeeds(cluster, "termine", 30)
+			polls = append(polls, fmt.Sprintf("after %v in %v: %v %v", started.Sub(recoveredAt).Round(time.Millisecond),
+				time.Since(started).Round(time.Millisecond), opened, describeMembers(cluster, "termine-")))
+			return opened["termine-1"]
+		}, 2*eventuallyTimeout).Should(gomega.BeNumerically(">", 0), func() string { return strings.Join(polls, "\n") })
 		expectNoFailures(load.stop())
 	})
 })
