Execute writes late, remove backend servers and kill all balancers in the soak

Change: three more faults; the stand-in of a backend server says itself that it leaves, so that tests and soak share it. Measured: TestSoakViolatesNoInvariant and the tests of leaving agents pass.

--- a/standin/tuple/backend.go
+++ b/standin/tuple/backend.go
@@ -111,6 +111,25 @@
 	b.flows = map[flowKey]*serverFlow{}
 }
 
+// Leave tells the agent that the backend server has ended as planned, or returns an error when the agent can't be told.
+func (b *Backend) Leave() error {
+	request, err := http.NewRequest(http.MethodDelete, b.announceURL(), nil)
+	if err != nil {
+		return err
+	}
+	client := http.Client{Timeout: announceTimeout}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// announceURL returns the URL of the backend server at its agent.
+func (b *Backend) announceURL() string {
+	return "http://" + b.config.Announce + "/v1/instances/" + b.config.Name
+}
+
 // Totals returns the number of distinct requests that have been started and the number of corrupt packets received.
 func (b *Backend) Totals() (requests, corruptPackets int) {
 	b.mu.Lock()
@@ -275,7 +294,7 @@
 		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","concurrency":%d,"state":%q,"warmup_left_ms":0,"sequence":%d,"born":%d}`,
 			b.config.Service, b.config.Inlet, b.config.Slots, b.state, b.sequence, b.startedMS)
 		b.mu.Unlock()
-		url := "http://" + b.config.Announce + "/v1/instances/" + b.config.Name
+		url := b.announceURL()
 		if request, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body)); err == nil {
 			if response, err := client.Do(request); err == nil {
 				_ = response.Body.Close()
--- a/standin/tuple/leave_test.go
+++ b/standin/tuple/leave_test.go
@@ -1,8 +1,6 @@
 package tuple
 
 import (
-	"fmt"
-	"net/http"
 	"net/netip"
 	"os/exec"
 	"strings"
@@ -36,12 +34,7 @@
 
 // removeBackend tells agent i that its backend server has been removed permanently.
 func removeBackend(g *gomega.WithT, c *Cluster, i int) {
-	announce := fmt.Sprintf("http://%s/v1/instances/i-%d", netip.AddrPortFrom(c.host(2, i), announcePort), i)
-	request, err := http.NewRequest(http.MethodDelete, announce, nil)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	response, err := http.DefaultClient.Do(request)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(response.Body.Close()).To(gomega.Succeed())
+	g.Expect(c.Backend(i).Leave()).To(gomega.Succeed())
 }
 
 func TestStoppedAgentIsMarkedUnknownAtOnce(t *testing.T) {
--- a/standin/tuple/soak.go
+++ b/standin/tuple/soak.go
@@ -22,6 +22,8 @@
 	soakKeptBackups = 6
 	// soakFaultsPerRestore is the mean number of injected faults between two restores of the store.
 	soakFaultsPerRestore = 6
+	// soakWriteDelay is how much later writes without an answer are executed, longer than a process waits for the answer.
+	soakWriteDelay = 2 * time.Second
 	// soakRecoveryTime is the time without faults after which every request has to succeed.
 	soakRecoveryTime = 3 * time.Second
 )
@@ -140,7 +142,7 @@
 	balancer := fmt.Sprintf("balancer-%d", s.faultRandom.IntN(soakBalancers))
 	agent := fmt.Sprintf("agent-%d", s.faultRandom.IntN(soakAgents))
 	backend := s.faultRandom.IntN(soakAgents)
-	switch s.faultRandom.IntN(14) {
+	switch s.faultRandom.IntN(17) {
 	case 0:
 		return s.restart(balancer, syscall.SIGKILL)
 	case 1:
@@ -165,6 +167,12 @@
 		return s.injectProxyFault(balancer)
 	case 12:
 		return s.injectProxyFault(agent)
+	case 13:
+		return s.replaceBackend(backend, "leaves", s.removeBackend)
+	case 14:
+		return s.injectStoreFault(StoreFault{LateBy: soakWriteDelay, LateWrites: 3})
+	case 15:
+		return s.restartBalancers()
 	default:
 		s.configVersion++
 		s.cluster.SetConfig(s.configVersion)
@@ -173,7 +181,30 @@
 	}
 }
 
-// replaceBackend makes a backend server crash or drain; the revert function starts a new one at the same address.
+// removeBackend makes a backend server end as planned, of which its agent is told.
+func (s *soak) removeBackend(b *Backend) {
+	b.Crash()
+	if err := b.Leave(); err != nil {
+		s.recordFault(b.config.Name + " could not say that it leaves: " + err.Error())
+	}
+}
+
+// restartBalancers kills all balancers that have no fault; the revert function starts them again.
+func (s *soak) restartBalancers() (string, func()) {
+	var reverts []func()
+	for i := range soakBalancers {
+		if _, revert := s.restart(fmt.Sprintf("balancer-%d", i), syscall.SIGKILL); revert != nil {
+			reverts = append(reverts, revert)
+		}
+	}
+	return fmt.Sprintf("%d balancers are killed", len(reverts)), func() {
+		for _, revert := range reverts {
+			revert()
+		}
+	}
+}
+
+// replaceBackend makes a backend server crash, drain or leave; the revert function starts a new one at the same address.
 func (s *soak) replaceBackend(i int, action string, inject func(*Backend)) (string, func()) {
 	backend := s.cluster.Backend(i)
 	name := backend.config.Name
