Decide queued requests of a kind that the operator removes

When a patch removed a kind of requests from a service, its queued requests got no decision: their callers waited until they gave up, and their goroutines for good. The end of a running request of the kind, or a request whose kind had been looked up just before, made the handler panic.

Cause: admit.Controller kept queues by the place of their kinds and cut those off that had no place any more; running requests kept the old place.

Evidence: TestRequestsOfARemovedKindAreRejectedOrFinish failed before.

Why it works: queues and running requests move by the name of their kind; queued requests of a kind that is gone are rejected, running ones free their slot without a share to charge.

Also: the property of cut agents plays 31 balancers now and then.

--- a/agent/serve/slots.go
+++ b/agent/serve/slots.go
@@ -75,6 +75,9 @@
 func (s *Slots) RecordResult(kind int, took time.Duration, shed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if kind >= len(s.service.Kinds) {
+		return // the kind was removed meanwhile
+	}
 	now := time.Now()
 	typical := s.service.Kinds[kind].TypicalDuration
 	if shed {
--- a/lib/admit/controller.go
+++ b/lib/admit/controller.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"slices"
 	"time"
 )
 
@@ -60,9 +61,12 @@
 	waiting  []Request
 }
 
+// removedKind is the kind of a running request whose kind is not configured any more.
+const removedKind = -1
+
 type runningRequest struct {
 	chargedTime time.Duration // estimate deducted from the credit at the start
-	kind        int           // index into Config.Kinds
+	kind        int           // index into Config.Kinds, or removedKind
 	startedAt   time.Time
 }
 
@@ -82,12 +86,12 @@
 	return c
 }
 
-// Reconfigure applies new limits and keeps running and queued requests, provided that the kinds keep their order.
+// Reconfigure applies new limits. It keeps running requests, and queued ones unless their kind, which its name identifies, is gone.
 func (c *Controller) Reconfigure(now time.Time, config Config) []Decision {
 	c.accrueCredit(now)
 	c.limit = config.Slots
-	c.setConfig(config)
-	return c.startWaiting(now)
+	decisions := c.setConfig(config)
+	return append(decisions, c.startWaiting(now)...)
 }
 
 // SetLimit sets the concurrency limit, clamped to between one and the number of slots.
@@ -100,6 +104,9 @@
 // Submit queues a request and returns the decisions that can be made now.
 func (c *Controller) Submit(now time.Time, request Request) []Decision {
 	c.accrueCredit(now)
+	if request.Kind >= len(c.queues) {
+		return append(c.startWaiting(now), Decision{ID: request.ID, Reason: ReasonClosed}) // the kind was removed meanwhile
+	}
 	q := &c.queues[request.Kind]
 	if len(q.waiting) >= c.config.Kinds[request.Kind].QueueLimit {
 		return append(c.startWaiting(now), Decision{ID: request.ID, Reason: ReasonQueueFull})
@@ -116,6 +123,9 @@
 		return nil
 	}
 	delete(c.running, id)
+	if finished.kind == removedKind {
+		return c.startWaiting(now)
+	}
 	q := &c.queues[finished.kind]
 	used := now.Sub(finished.startedAt)
 	q.credit += finished.chargedTime - used
@@ -176,17 +186,35 @@
 	return ""
 }
 
-func (c *Controller) setConfig(config Config) {
+// setConfig applies limits, moves queues and running requests to the new places of their kinds, and returns rejections of the queued
+// requests whose kinds are gone.
+func (c *Controller) setConfig(config Config) []Decision {
 	queues := make([]kindQueue, len(config.Kinds))
-	copy(queues, c.queues)
 	for k, kind := range config.Kinds {
-		if queues[k].estimate == 0 {
-			queues[k].estimate = kind.TypicalDuration
-			queues[k].credit = c.creditLimit(kind, config.Slots)
+		queues[k] = kindQueue{credit: c.creditLimit(kind, config.Slots), estimate: kind.TypicalDuration}
+	}
+	var decisions []Decision
+	moved := make([]int, len(c.queues)) // new place of each kind, or removedKind
+	for k, q := range c.queues {
+		name := c.config.Kinds[k].Name
+		moved[k] = slices.IndexFunc(config.Kinds, func(kind Kind) bool { return kind.Name == name })
+		if moved[k] != removedKind {
+			queues[moved[k]] = q
+			continue
+		}
+		for _, request := range q.waiting {
+			decisions = append(decisions, Decision{ID: request.ID, Reason: ReasonClosed})
+		}
+	}
+	for id, request := range c.running {
+		if request.kind != removedKind {
+			request.kind = moved[request.kind]
+			c.running[id] = request
 		}
 	}
 	c.config = config
 	c.queues = queues
+	return decisions
 }
 
 func (c *Controller) creditLimit(kind Kind, slots int) time.Duration {
--- a/lib/admit/controller_test.go
+++ b/lib/admit/controller_test.go
@@ -179,3 +179,31 @@
 	g.Expect(sim.controller.Waiting()).To(gomega.Equal(20))
 	g.Expect(sim.rejected[0]).To(gomega.Equal(9))
 }
+
+// Guards against a change of the configuration that removes or moves kinds of requests: queued requests of a removed kind got no
+// decision, so that their callers waited for good, and the end of a running one made the agent panic.
+func TestRequestsOfARemovedKindAreRejectedOrFinish(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	kind := func(name string) Kind {
+		return Kind{Name: name, QueueLimit: 5, Share: 30, TypicalDuration: 50 * time.Millisecond}
+	}
+	c := NewController(now, Config{Kinds: []Kind{kind("feeds"), kind("bookings"), kind("documents")}, Slots: 1})
+	deadline := now.Add(time.Minute)
+	submit := func(id uint64, kind int) []Decision {
+		return c.Submit(now, Request{Deadline: deadline, ID: id, Kind: kind})
+	}
+	g.Expect(submit(1, 2)).To(gomega.Equal([]Decision{{ID: 1}}))
+	g.Expect(submit(2, 0)).To(gomega.BeEmpty())
+	g.Expect(submit(3, 2)).To(gomega.BeEmpty())
+	g.Expect(submit(4, 1)).To(gomega.BeEmpty())
+	g.Expect(c.Reconfigure(now, Config{Kinds: []Kind{kind("bookings"), kind("feeds")}, Slots: 1})).
+		To(gomega.Equal([]Decision{{ID: 3, Reason: ReasonClosed}}))
+	g.Expect(c.Waiting()).To(gomega.Equal(2))
+	g.Expect(submit(5, 2)).To(gomega.Equal([]Decision{{ID: 5, Reason: ReasonClosed}}), "its kind was looked up before")
+	started := c.Finish(now, 1)
+	g.Expect(started).To(gomega.HaveLen(1), "the slot of the removed kind is free")
+	g.Expect(c.Finish(now, started[0].ID)).To(gomega.HaveLen(1))
+	g.Expect(c.Waiting()).To(gomega.BeZero())
+	g.Expect(c.CheckInvariants()).To(gomega.BeEmpty())
+}
--- a/lib/flows/cut_test.go
+++ b/lib/flows/cut_test.go
@@ -171,7 +171,7 @@
 // them on no list of members, reset their flows.
 func TestFlowsOfAgentsThatWereCutOffAreNotReset(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newCutNetwork(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 5).Draw(t, "balancers"), rapid.IntRange(3, 7).Draw(t, "agents"))
+		c := newCutNetwork(rapid.Uint64().Draw(t, "seed"), rapid.SampledFrom([]int{2, 3, 5, 31}).Draw(t, "balancers"), rapid.IntRange(3, 7).Draw(t, "agents"))
 		c.loss = rapid.SampledFrom([]float64{0, 0.02}).Draw(t, "loss")
 		c.wait(time.Second)
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
