Evict renewed decisions about new flows after older ones

An agent that had asked a flow's previous owner and then accepted the flow could forget that early, so that a repeated datagram of the opening may be accepted by a second agent. Expired decisions behind a renewed one stayed.

Cause: steer.Placer kept flows in the order of their first decision; a later one did not move them.

Evidence: TestRenewedDecisionIsEvictedAfterOlderOnes failed before.

Why it works: the order holds decisions, and a flow's record goes only with its last one. The QUIC carriage only. Measured: tests of lib/steer pass, the properties among them.

--- a/lib/steer/placer.go
+++ b/lib/steer/placer.go
@@ -107,10 +107,16 @@
 // Placer decides for one agent whether it accepts, forwards or rejects new flows.
 type Placer struct {
 	config  PlacerConfig
-	order   []FlowKey // keys of the records, oldest first
+	order   []decidedFlow // decisions, oldest first; only the last one of a flow has a record
 	records map[FlowKey]*record
 }
 
+// decidedFlow names a decision about a flow.
+type decidedFlow struct {
+	key      FlowKey
+	decision *record
+}
+
 // NewPlacer returns a placer without records.
 func NewPlacer(config PlacerConfig) *Placer {
 	return &Placer{config: config, records: map[FlowKey]*record{}}
@@ -265,8 +271,8 @@
 	decision.expiresAt = now.Add(recordLifetime)
 	if p.records[key] == nil {
 		p.evictForCapacity()
-		p.order = append(p.order, key)
 	}
+	p.order = append(p.order, decidedFlow{key: key, decision: &decision})
 	p.records[key] = &decision
 	return outcome
 }
@@ -277,17 +283,17 @@
 	}
 }
 
+// evictOldest removes the oldest decision, and the record of its flow unless that holds a later one.
 func (p *Placer) evictOldest() {
-	delete(p.records, p.order[0])
+	oldest := p.order[0]
+	if p.records[oldest.key] == oldest.decision {
+		delete(p.records, oldest.key)
+	}
 	p.order = p.order[1:]
 }
 
 func (p *Placer) evictExpired(now time.Time) {
-	for len(p.order) > 0 {
-		oldest := p.records[p.order[0]]
-		if oldest != nil && now.Before(oldest.expiresAt) {
-			return
-		}
+	for len(p.order) > 0 && !now.Before(p.order[0].decision.expiresAt) {
 		p.evictOldest()
 	}
 }
--- a/lib/steer/placer_test.go
+++ b/lib/steer/placer_test.go
@@ -251,3 +251,31 @@
 	}
 	g.Expect(n.accepted).To(gomega.HaveKey(agentAddress(0)))
 }
+
+// Guards against a flow whose decision was renewed, such as one that an agent accepted after it had asked the previous owner: it was
+// evicted as early as its first decision, so that a repeated datagram could be accepted by a second agent.
+func TestRenewedDecisionIsEvictedAfterOlderOnes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	key := func(i int) FlowKey {
+		k := testKey()
+		k.ConnectionID = fmt.Sprint(i)
+		return k
+	}
+	p := NewPlacer(PlacerConfig{Capacity: 3, Policy: CompareMean, Self: agentAddress(0)})
+	query := wire.Forward{Phase: wire.PhaseOwnerQuery, Service: 1}
+	g.Expect(p.Place(now, key(0), agentAddress(1), Load{}, &query).To).To(gomega.Equal(agentAddress(1)))
+	for i := 1; i < 3; i++ {
+		p.Place(now, key(i), agentAddress(1), Load{}, &wire.Forward{Phase: wire.PhaseAssign, Service: 1})
+	}
+	now = now.Add(recordLifetime - time.Second)
+	g.Expect(p.Place(now, key(0), agentAddress(1), Load{}, &wire.Forward{Phase: wire.PhaseAssign, Service: 1}).Action).To(gomega.Equal(ActionAccept))
+	p.Place(now, key(3), agentAddress(1), Load{}, &wire.Forward{Phase: wire.PhaseAssign, Service: 1})
+	g.Expect(p.Owns(key(0))).To(gomega.BeTrue(), "it was decided last but one")
+	g.Expect(p.Owns(key(1))).To(gomega.BeFalse())
+	g.Expect(p.Len()).To(gomega.Equal(3))
+	now = now.Add(2 * time.Second)
+	p.Place(now, key(4), agentAddress(1), Load{}, &wire.Forward{Phase: wire.PhaseAssign, Service: 1})
+	g.Expect(p.Owns(key(2))).To(gomega.BeFalse(), "it has expired")
+	g.Expect(p.Owns(key(0))).To(gomega.BeTrue())
+}
