Wait for the address of a closed socket in the stand-ins

Cause: a child process that is being started holds copies of all descriptors until it runs its program. So a listener that was just closed lives on for some milliseconds while another job starts processes.

--- a/standin/tuple/backend.go
+++ b/standin/tuple/backend.go
@@ -63,11 +63,15 @@
 
 // NewBackend starts a backend server, or returns an error when its address can't be bound.
 func NewBackend(config BackendConfig) (*Backend, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(config.Inlet))
+	conn, err := listenWhenFree(func() (*net.UDPConn, error) {
+		return net.ListenUDP("udp4", net.UDPAddrFromAddrPort(config.Inlet))
+	})
 	if err != nil {
 		return nil, err
 	}
-	healthListener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(config.Inlet))
+	healthListener, err := listenWhenFree(func() (*net.TCPListener, error) {
+		return net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(config.Inlet))
+	})
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/standin/tuple/cluster.go
+++ b/standin/tuple/cluster.go
@@ -183,7 +183,9 @@
 
 func (c *Cluster) start() error {
 	c.SetConfig(1)
-	listener, err := net.Listen("tcp4", netip.AddrPortFrom(c.host(0, 0), storePort).String())
+	listener, err := listenWhenFree(func() (net.Listener, error) {
+		return net.Listen("tcp4", netip.AddrPortFrom(c.host(0, 0), storePort).String())
+	})
 	if err != nil {
 		return err
 	}
--- a/standin/tuple/proxy.go
+++ b/standin/tuple/proxy.go
@@ -48,7 +48,9 @@
 
 // NewProxy starts a proxy that listens at address, or returns an error when it can't be bound.
 func NewProxy(address, target netip.AddrPort) (*Proxy, error) {
-	listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(address))
+	listener, err := listenWhenFree(func() (*net.TCPListener, error) {
+		return net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(address))
+	})
 	if err != nil {
 		return nil, err
 	}
