Let an agent that hears nothing check its entry by itself

What callers would have seen: after a restore of the store and a restart of all balancers, open flows of an agent that had joined in the lost seconds were reset while its backend server worked.

Cause: an agent learnt of a later era by its own calls or by messages of balancers. Restarted balancers didn't know it and sent none, and an agent whose flows don't change makes no calls.

Why it works: an agent that holds flows and has heard nothing for 2 s reads its entry, then at doubling times; after it has stored the entry again it reports to all balancers on the list. Nothing is read while balancers send packets.

--- a/agent/tuple/members.go
+++ b/agent/tuple/members.go
@@ -179,13 +179,15 @@
 	n.dispatcher.SetListing(listing)
 }
 
-// setListed sets what reports say about this agent's entry, which it has found lost or stored again.
+// setListed sets what reports say about this agent's entry, which it has found lost or stored again. Balancers that have restarted
+// meanwhile don't know this agent, so it then reports to all on the list.
 func (n *Node) setListed(listed bool) {
-	if listed {
-		n.setListing(flows.ListingConfirmed)
-	} else {
+	if !listed {
 		n.setListing(flows.ListingAbsent)
+		return
 	}
+	n.setListing(flows.ListingConfirmed)
+	n.requestJoin(flows.Join{})
 }
 
 // knownAgents returns the number of agents on the last list of members that this agent has read.
--- a/agent/tuple/packets.go
+++ b/agent/tuple/packets.go
@@ -101,7 +101,7 @@
 		n.config.Ignored.Record(now, netio.InputMessage, from.String(), "malformed message")
 		return
 	}
-	n.guard.RecordStated(hello.Era)
+	n.guard.RecordHeard(now, hello.Era)
 	n.mu.Lock()
 	n.dispatcher.HandleHello(now, flows.EndpointOf(from))
 	report := n.dispatcher.Report(now)
@@ -120,7 +120,7 @@
 		n.config.Ignored.Record(now, netio.InputMessage, from.String(), "malformed packet in the message")
 		return
 	}
-	n.guard.RecordStated(f.Era)
+	n.guard.RecordHeard(now, f.Era)
 	n.mu.Lock()
 	verdict := n.dispatcher.HandleForward(now, &f, packet)
 	n.mu.Unlock()
--- a/agent/tuple/timers.go
+++ b/agent/tuple/timers.go
@@ -37,8 +37,12 @@
 			n.guard.Poll(now)
 			n.mu.Lock()
 			n.dispatcher.Sweep(now)
+			holdsFlows := n.dispatcher.Flows() > 0
 			overdue := n.server.Overdue(now)
 			n.mu.Unlock()
+			if holdsFlows {
+				n.guard.PollSilence(now)
+			}
 			if overdue {
 				n.requestProbe()
 			}
--- a/lib/member/entryguard.go
+++ b/lib/member/entryguard.go
@@ -17,6 +17,9 @@
 	// entryCheckInterval is how often a process checks its entry at the least, so that it replaces one that was marked for removal
 	// before it is deleted.
 	entryCheckInterval = 10 * time.Minute
+	// firstSilence is how long a process hears nothing from others before it checks its entry; the time doubles with each check. The
+	// others may have restarted without learning of it, since the store has lost its entry.
+	firstSilence = 2 * time.Second
 )
 
 // EntryGuardConfig configures an EntryGuard.
@@ -29,15 +32,17 @@
 }
 
 // EntryGuard stores the entry of a process again after the store has lost it with its latest changes, or after it was marked for
-// removal. Only the store's own answers show that; what other processes state makes the guard ask the store.
+// removal. Only the store's own answers show that; what other processes state, or their silence, makes the guard ask the store.
 type EntryGuard struct {
 	checkDue   time.Time // when the next check is due at the latest; zero before the first Poll
-	checkedEra uint64    // era of the store at the last check; zero when that was too long ago
+	checkedEra uint64    // era of the store at the last check; zero when another one is due
 	config     EntryGuardConfig
 	due        chan struct{}
 	eras       store.Eras
-	mu         sync.Mutex // guards checkDue, checkedEra and statedEra
-	statedEra  uint64     // latest era that another process has stated
+	heardAt    time.Time     // when another process was last heard; zero for a process that does not depend on that
+	mu         sync.Mutex    // guards checkDue, checkedEra, heardAt, silence and statedEra
+	silence    time.Duration // time without hearing others after which the next check is due
+	statedEra  uint64        // latest era that another process has stated
 }
 
 // NewEntryGuard returns the guard of a process's entry.
@@ -75,15 +80,35 @@
 	if due || g.checkDue.IsZero() {
 		g.checkDue = now.Add(entryCheckInterval/2 + rand.N(entryCheckInterval/2))
 	}
+	g.mu.Unlock()
 	if due {
-		g.checkedEra = 0
+		g.requestAnew()
+	}
+}
+
+// PollSilence requests a check when no other process has been heard for long. It must be called regularly by a process that others
+// have to find.
+func (g *EntryGuard) PollSilence(now time.Time) {
+	g.mu.Lock()
+	silent := !g.heardAt.IsZero() && now.Sub(g.heardAt) >= g.silence
+	if silent {
+		g.silence *= 2
 	}
 	g.mu.Unlock()
-	if due {
-		g.request()
+	if silent {
+		g.requestAnew()
 	}
 }
 
+// RecordHeard records that another process was heard, with the era that it has stated.
+func (g *EntryGuard) RecordHeard(now time.Time, era uint64) {
+	g.mu.Lock()
+	g.heardAt = now
+	g.silence = firstSilence
+	g.mu.Unlock()
+	g.RecordStated(era)
+}
+
 // RecordStated records an era that another process has stated. If it is later than what the store has stated here, a check
 // becomes due, which asks the store.
 func (g *EntryGuard) RecordStated(era uint64) {
@@ -141,6 +166,14 @@
 	}
 }
 
+// requestAnew requests a check also if the entry was checked in the latest era.
+func (g *EntryGuard) requestAnew() {
+	g.mu.Lock()
+	g.checkedEra = 0
+	g.mu.Unlock()
+	g.request()
+}
+
 func (g *EntryGuard) request() {
 	select {
 	case g.due <- struct{}{}:
--- a/lib/member/entryguard_test.go
+++ b/lib/member/entryguard_test.go
@@ -100,3 +100,33 @@
 	g.Expect(guard.Era()).To(gomega.BeEquivalentTo(2))
 	g.Expect(*listed).To(gomega.Equal([]bool{false, true}))
 }
+
+// Guards against a process that nobody tells of a later era, as all others have restarted and don't know it.
+func TestEntryIsCheckedAndStoredAgainWhileOthersAreSilent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	guard, shared, listed := newTestGuard(t)
+	now := time.Now()
+	poll := func(after time.Duration) {
+		guard.Poll(now.Add(after))
+		guard.PollSilence(now.Add(after))
+		runDueChecks(t, guard)
+	}
+	poll(time.Minute)
+	g.Expect(shared.gets).To(gomega.BeZero(), "it depends on nobody yet")
+	guard.RecordHeard(now, guard.Era())
+	poll(firstSilence - 1)
+	g.Expect(shared.gets).To(gomega.BeZero())
+	shared.Restore(map[string]store.Object{})
+	poll(firstSilence)
+	g.Expect(shared.gets).To(gomega.Equal(1))
+	g.Expect(*listed).To(gomega.Equal([]bool{false, true}))
+	for after := firstSilence; after < 100*firstSilence; after += 200 * time.Millisecond {
+		poll(after)
+	}
+	g.Expect(shared.gets).To(gomega.BeNumerically("<=", 1+6+1), "the time between checks doubles")
+	guard.RecordHeard(now.Add(100*firstSilence), guard.Era())
+	poll(101*firstSilence - 1)
+	before := shared.gets
+	poll(101 * firstSilence)
+	g.Expect(shared.gets).To(gomega.Equal(before + 1))
+}
--- a/standin/tuple/restore_test.go
+++ b/standin/tuple/restore_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/cyclamendock/cyclamendock/lib/store"
 )
 
 const (
@@ -125,3 +128,23 @@
 	}
 	checkBackends(g, c)
 }
+
+// Guards against an agent that makes no call to the store for a while: its entry was lost, all balancers restarted, nobody told it of
+// the new era, and balancers reset its open flows.
+func TestFlowsOfQuietAgentWhoseEntryWasLostSurviveRestartOfAllBalancers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := startTestCluster(t, 90)
+	flows := openFlows(g, c, "quiet", 20)
+	g.Expect(c.Backend(0).FlowCount()).To(gomega.BeNumerically(">", 0))
+	time.Sleep(5 * time.Second) // all snapshots are stored
+	backup := c.Store.Backup()
+	delete(backup.objects, "cyclamendock-members/"+store.AddressName(netip.AddrPortFrom(c.host(2, 0), internalPort)))
+	c.Store.Restore(backup)
+	restartBalancers(g, c)
+	time.Sleep(2 * maxReturnTime) // the list counts as complete
+	for _, err := range getAll(flows, "quiet-restarted", 3000) {
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	checkBackends(g, c)
+	g.Expect(c.Members()).To(gomega.HaveLen(len(c.processes)))
+}
