Let tests begin once every agent accepts announcements

Cause: a cluster of the tests counted as ready when its balancers were, which takes one agent, and 0.6 s later.

Change: the cluster also waits until each agent has accepted an announcement of its backend server; the 0.6 s stay.

--- a/standin/tuple/backend.go
+++ b/standin/tuple/backend.go
@@ -32,6 +32,7 @@
 
 // Backend is a simulated backend server that answers "GET <id> <size>" with a body that the caller can compute too.
 type Backend struct {
+	accepted       bool // the agent has accepted an announcement
 	config         BackendConfig
 	conn           *net.UDPConn
 	CorruptPackets int // received packets that differ from what their sender wrote
@@ -134,6 +135,20 @@
 	return "http://" + b.config.Announce + "/v1/instances/" + b.config.Name
 }
 
+// recordResponse records the agent's response to an announcement.
+func (b *Backend) recordResponse(status int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.accepted = b.accepted || status == http.StatusOK
+}
+
+// Accepted reports whether the agent has accepted an announcement of the backend server.
+func (b *Backend) Accepted() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.accepted
+}
+
 // Totals returns the number of distinct requests that have been started and the number of corrupt packets received.
 func (b *Backend) Totals() (requests, corruptPackets int) {
 	b.mu.Lock()
@@ -302,6 +317,7 @@
 		if request, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body)); err == nil {
 			if response, err := client.Do(request); err == nil {
 				_ = response.Body.Close()
+				b.recordResponse(response.StatusCode)
 			}
 		}
 		select {
--- a/standin/tuple/cluster.go
+++ b/standin/tuple/cluster.go
@@ -285,23 +285,35 @@
 	return c.processes[name].Start()
 }
 
-// waitReady waits until every balancer is ready and every backend server has announced itself.
+// waitReady waits until every balancer is ready and every agent has accepted an announcement of its backend server and had time to
+// report it.
 func (c *Cluster) waitReady() error {
 	deadline := time.Now().Add(exitTimeout)
-	for i := 0; i < c.config.Balancers; {
-		if time.Now().After(deadline) {
+	for i := range c.config.Balancers {
+		if !waitFor(deadline, func() bool { return c.balancerReady(i) }) {
 			return fmt.Errorf("balancer-%d is not ready; see its log in %s", i, c.config.WorkDir)
 		}
-		if c.balancerReady(i) {
-			i++
-			continue
+	}
+	for i := range c.config.Agents {
+		if !waitFor(deadline, c.Backend(i).Accepted) {
+			return fmt.Errorf("agent-%d accepts no announcement; see its log in %s", i, c.config.WorkDir)
 		}
-		time.Sleep(50 * time.Millisecond)
 	}
-	time.Sleep(2 * announceInterval) // every backend server announces itself meanwhile
+	time.Sleep(2 * announceInterval)
 	return nil
 }
 
+// waitFor waits until the condition holds, and reports false when that does not happen before the deadline.
+func waitFor(deadline time.Time, holds func() bool) bool {
+	for !holds() {
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return true
+}
+
 // balancerReady reports whether balancer i reports itself ready.
 func (c *Cluster) balancerReady(i int) bool {
 	response, err := http.Get("http://" + netip.AddrPortFrom(c.host(1, i), readyPort).String() + "/v1/ready")
