Ask all balancers before an agent's silence proves that its flows ended

Cause: a balancer that had not heard an agent for lostAfter left it out of the proof that a flow has ended, even while another balancer heard the agent.

Ruled out: a list of members that lacks the agent; the entries stay on the list.

While one hears the agent, its flows are not reset and their packets are relayed there (Relay). A process that was not scheduled counts no silence for that time.

Why it works: the proof now rests on what the whole system hears, as the promise does.

--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -81,7 +81,9 @@
 	n.mu.Lock()
 	verdicts := n.director.Tick(now)
 	hellos := n.director.Agents.DueHellos(now)
+	queries := n.director.DueQueries(now)
 	n.mu.Unlock()
+	n.sendQueries(queries)
 	for i := range verdicts {
 		n.execute(now, out, &verdicts[i], verdicts[i].Forward.Datagram)
 	}
--- a/balancer/tuple/observe.go
+++ b/balancer/tuple/observe.go
@@ -55,6 +55,8 @@
 	forwarded        *metrics.Counter
 	notForwarded     map[flows.Reason]*metrics.Counter
 	placementLimiter *logs.Limiter
+	queries          *metrics.Counter // messages that ask all other balancers about silent agents
+	relayed          *metrics.Counter // packets that other balancers could not deliver
 	resetLimiter     *logs.Limiter
 	server           *stats.Server
 }
@@ -65,6 +67,8 @@
 		dropLimiter:      logs.NewLimiter(notForwardedLogsPerSecond),
 		forwarded:        server.Counter("cyclamendock_balancer_packets_total"),
 		notForwarded:     map[flows.Reason]*metrics.Counter{},
+		queries:          server.Counter("cyclamendock_balancer_queries_total"),
+		relayed:          server.Counter("cyclamendock_balancer_packets_relayed_total"),
 		placementLimiter: logs.NewLimiter(placementLogsPerSecond),
 		resetLimiter:     logs.NewLimiter(notForwardedLogsPerSecond),
 		server:           server,
--- a/balancer/tuple/packets.go
+++ b/balancer/tuple/packets.go
@@ -22,6 +22,8 @@
 			n.logPlacement(now, verdict)
 		}
 		return
+	case flows.ActRelay:
+		out.QueueMessage(flows.Relay{Datagram: datagram}.Append, verdict.RelayTo)
 	case flows.ActReset:
 		out.QueueReset(verdict.Flow, verdict.Seq)
 	case flows.ActRefreshMembers:
@@ -82,6 +84,12 @@
 		valid = n.handleReport(now, message, sender)
 	case flows.KindDigest:
 		valid = n.handleDigest(now, message, from)
+	case flows.KindQuery:
+		valid = n.handleQuery(now, out, message, sender)
+	case flows.KindHeard:
+		valid = n.handleHeard(now, message, sender)
+	case flows.KindRelay:
+		valid = n.handleRelay(now, out, message)
 	default:
 		valid = false
 	}
--- a/lib/flows/cut_test.go
+++ b/lib/flows/cut_test.go
@@ -4,12 +4,19 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 )
 
 // testStabilityWindow is how long after a cut a living flow may still be reset, as on the users' platform.
 const testStabilityWindow = 4 * time.Second
 
+// testAskTime is how long it may take until all other balancers have been asked about an agent, or are asked again.
+const testAskTime = 1500 * time.Millisecond
+
+// testTickInterval is the interval between two ticks of a balancer.
+const testTickInterval = 25 * time.Millisecond
+
 // agentCut cuts an agent off from some balancers.
 type agentCut struct {
 	balancers map[Endpoint]bool
@@ -22,7 +29,8 @@
 	*testNetwork
 	balancerCount int // ever started
 	cuts          map[Endpoint]agentCut
-	marked        map[Endpoint]bool // whether the entry of each listed agent is marked for removal
+	startedAt     map[Endpoint]time.Time // start of each balancer that was added or restarted
+	marked        map[Endpoint]bool      // whether the entry of each listed agent is marked for removal
 	opened        int
 }
 
@@ -31,11 +39,12 @@
 		balancerCount: balancers,
 		cuts:          map[Endpoint]agentCut{},
 		marked:        map[Endpoint]bool{},
+		startedAt:     map[Endpoint]time.Time{},
 		testNetwork:   newTestNetwork(seed, balancers, agents),
 	}
 	c.knownOnly = true
 	c.cut = func(x, y Endpoint) bool { return c.isCut(x, y) || c.isCut(y, x) }
-	c.excused = func(owner *testAgent) bool { return c.now.Sub(c.cuts[owner.address].until) < testStabilityWindow }
+	c.excused = func(owner *testAgent) bool { return c.isOutOfReach(owner.address) }
 	for _, a := range c.testNetwork.agents {
 		c.marked[a.address] = false
 	}
@@ -46,6 +55,21 @@
 	return c.now.Before(c.cuts[agent].until) && c.cuts[agent].balancers[balancer]
 }
 
+// isOutOfReach reports whether an agent was cut off a short time ago from all balancers that run now, but for those that started so late
+// that the others may not have asked them yet. While one hears it, its flows are carried.
+func (c *cutNetwork) isOutOfReach(agent Endpoint) bool {
+	cut := c.cuts[agent]
+	if c.now.Sub(cut.until) >= testStabilityWindow {
+		return false
+	}
+	for balancer := range c.directors {
+		if !cut.balancers[balancer] && c.now.Sub(c.startedAt[balancer]) > testAskTime {
+			return false
+		}
+	}
+	return true
+}
+
 // cutOff cuts an agent off from all present balancers.
 func (c *cutNetwork) cutOff(a *testAgent, duration time.Duration) {
 	balancers := map[Endpoint]bool{}
@@ -60,6 +84,7 @@
 	d := NewDirector(DirectorConfig{FlowLifetime: time.Minute, LostAfter: testLostAfter, MaxQueueTime: time.Second, Self: address})
 	d.SetRoutes(c.now, c.routes)
 	c.directors[address] = d
+	c.startedAt[address] = c.now
 	c.readList(d)
 }
 
@@ -102,13 +127,15 @@
 // wait runs the timers of all processes for a while.
 func (c *cutNetwork) wait(duration time.Duration) {
 	for ; duration > 0; duration -= testReportInterval {
-		c.now = c.now.Add(testReportInterval)
 		for _, a := range c.agents {
 			c.announce(a)
 		}
 		for i, balancer := range c.balancers() {
 			c.runTimers(c.directors[balancer], balancer, i == 0)
 		}
+		for range testReportInterval / testTickInterval {
+			c.tick()
+		}
 	}
 }
 
@@ -138,6 +165,38 @@
 	}
 }
 
+// tick runs the balancers' ticks, with which they ask each other about silent agents.
+func (c *cutNetwork) tick() {
+	for _, balancer := range c.balancers() {
+		d := c.directors[balancer]
+		for _, verdict := range d.Tick(c.now) {
+			c.applyVerdict(balancer, verdict, Packet{})
+		}
+		for _, query := range d.DueQueries(c.now) {
+			for _, other := range c.balancers() {
+				if other != balancer {
+					c.query(balancer, other, query)
+				}
+			}
+		}
+	}
+	c.now = c.now.Add(testTickInterval)
+}
+
+// query delivers a query and its answer, unless they are lost.
+func (c *cutNetwork) query(from, to Endpoint, query Query) {
+	if c.random.Float64() < c.loss {
+		return
+	}
+	heard, unsure := c.directors[to].HandleQuery(c.now, query)
+	if c.random.Float64() >= c.loss {
+		c.directors[from].RecordHeard(heard, to)
+	}
+	for _, agent := range unsure {
+		c.reportTo(to, agent)
+	}
+}
+
 // useFlows opens some flows and sends a packet on each open one, all through random balancers.
 func (c *cutNetwork) useFlows() {
 	for range 3 {
@@ -184,3 +243,52 @@
 		}
 	})
 }
+
+// Guards against a balancer that resets flows because it alone can't hear their agent.
+func TestFlowsOfAgentsThatAnotherBalancerHearsAreCarried(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCutNetwork(1, 3, 3)
+	c.wait(time.Second)
+	for i := range 20 {
+		c.openFlow(testFlow(i))
+	}
+	deaf := c.balancers()[0]
+	for _, a := range c.agents[1:] {
+		c.cuts[a.address] = agentCut{balancers: map[Endpoint]bool{deaf: true}, until: c.now.Add(time.Hour)}
+	}
+	c.restartBalancer(deaf) // without hints
+	c.wait(testLostAfter + time.Second)
+	for i := range 20 {
+		before := c.delivered[testFlow(i)]
+		for range 6 {
+			c.sendVia(deaf, testFlow(i), FlagAck, 100)
+			c.wait(200 * time.Millisecond)
+		}
+		g.Expect(c.delivered[testFlow(i)]).To(gomega.BeNumerically(">", before), "flow %d", i)
+	}
+	g.Expect(c.resets).To(gomega.BeEmpty())
+}
+
+// Guards against flows of a host that has failed whose callers are never told.
+func TestFlowsOfAgentsThatNobodyHearsAreReset(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCutNetwork(1, 3, 3)
+	c.wait(time.Second)
+	for i := range 20 {
+		c.openFlow(testFlow(i))
+	}
+	failed := c.agents[0]
+	failed.running = false
+	c.cutOff(failed, time.Hour)
+	c.wait(testLostAfter + time.Second)
+	for i := range 20 {
+		c.sendFromCaller(testFlow(i), FlagAck, 100)
+	}
+	c.wait(2 * time.Second)
+	for i := range 20 {
+		if c.ownerOf[testFlow(i)] == failed {
+			g.Expect(c.resets).To(gomega.HaveKey(testFlow(i)))
+		}
+	}
+	g.Expect(c.wrongResets).To(gomega.BeEmpty())
+}
--- a/lib/flows/director.go
+++ b/lib/flows/director.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/reach"
 )
 
 // Reason tells why a packet was dropped, queued or answered with a reset.
@@ -23,6 +25,8 @@
 	ReasonPendingReset Reason = "pendingReset"
 	// ReasonQueued means that the packet is queued until an agent or its backend server has capacity.
 	ReasonQueued Reason = "queued"
+	// ReasonRelayed means that another balancer hears an agent that may hold the flow.
+	ReasonRelayed Reason = "relayed"
 	// ReasonRouteRemoved means that a newer configuration has removed the flow's route.
 	ReasonRouteRemoved Reason = "routeRemoved"
 	// ReasonSaturated means that every agent is too busy to serve the flow in time.
@@ -37,6 +41,8 @@
 	ActDrop Action = iota
 	// ActForward sends Verdict.Forward along each chain in Verdict.Chains.
 	ActForward
+	// ActRelay sends the packet to the balancer Verdict.RelayTo, which hears an agent that may hold the flow.
+	ActRelay
 	// ActRefreshMembers drops the packet and reads the list of members from the store, to be followed by
 	// Director.ResolvePendingResets.
 	ActRefreshMembers
@@ -53,6 +59,7 @@
 	Forward   Forward // message to send
 	IsOpening bool    // the packet opens a new flow
 	Reason    Reason
+	RelayTo   Endpoint
 	RequestID string // ID of the request in the packet; empty when it could not be read
 	Seq       uint32 // sequence number of the reset
 }
@@ -102,8 +109,10 @@
 
 	config            DirectorConfig
 	hints             *Cache[Flow, Endpoint] // agent that holds each flow, as far as known
+	lastTick          time.Time
 	pendingResets     map[Flow]pendingReset
 	queuedOpenings    map[Flow]queuedOpening
+	reach             *reach.Asker[Endpoint]     // whether other balancers hear the agents that this one doesn't hear
 	removedAddresses  *Cache[Endpoint, struct{}] // addresses whose route a newer configuration removed
 	routes            Routes
 	searches          *Cache[Flow, *flowSearch]
@@ -118,6 +127,7 @@
 		hints:             NewCache[Flow, Endpoint](hintCapacity, config.FlowLifetime),
 		pendingResets:     map[Flow]pendingReset{},
 		queuedOpenings:    map[Flow]queuedOpening{},
+		reach:             reach.NewAsker(Endpoint.Compare),
 		removedAddresses:  NewCache[Endpoint, struct{}](removedCapacity, config.FlowLifetime),
 		searches:          NewCache[Flow, *flowSearch](searchCapacity, searchLifetime),
 		servicesByAddress: map[Endpoint][]NameHash{},
@@ -176,6 +186,9 @@
 	if owner, service, ok := d.lookupOwner(now, route, flow); ok {
 		return d.forwardVerdict(now, route, p, service, Chain{owner})
 	}
+	if balancer, ok := d.relayToOwner(now, p); ok {
+		return relayVerdict(p, balancer)
+	}
 	return d.searchOwner(now, route, p)
 }
 
@@ -213,6 +226,7 @@
 // HandleReturn decides about a packet that every agent on its list has rejected.
 func (d *Director) HandleReturn(now time.Time, f *Forward, p Packet) Verdict {
 	flow := p.CallerFlow()
+	p.Relayed = f.Relayed
 	route, ok := d.routes.ByAddress[flow.Service]
 	if !ok {
 		return d.handleUnrouted(now, p)
@@ -253,6 +267,7 @@
 // service was unknown or has changed, searches try the agent again, since it may have rejected packets because of the
 // service.
 func (d *Director) RecordReport(now time.Time, agent Endpoint, report Report) bool {
+	d.reach.Forget(agent)
 	previous, reported := d.Agents.ServiceOf(agent)
 	changed := d.Agents.RecordReport(now, agent, report)
 	if reported && previous == report.Service {
@@ -298,6 +313,7 @@
 		Forward: Forward{
 			LatencyTarget: route.LatencyTarget,
 			Origin:        d.config.Self,
+			Relayed:       p.Relayed,
 			Service:       service,
 			Timeout:       route.Timeout,
 			Urgency:       route.Urgency,
--- a/lib/flows/forward.go
+++ b/lib/flows/forward.go
@@ -9,6 +9,7 @@
 	forwardOverloaded = 1
 	forwardFinal      = 2
 	forwardAssigned   = 4
+	forwardRelayed    = 8
 )
 
 // Forward is a caller's packet on its way to the agent that holds its flow or accepts it.
@@ -24,6 +25,7 @@
 	Origin        Endpoint      // balancer that forwarded the packet first
 	Overloaded    bool          // an agent in RejectedBy was too busy for the new flow
 	RejectedBy    []Endpoint    // agents that did not hold or accept the flow
+	Relayed       bool          // another balancer has relayed the packet to Origin
 	Service       NameHash
 	Timeout       time.Duration // request timeout of the route
 	Urgency       int           // urgency of the route, from -128 to 127
@@ -36,7 +38,8 @@
 
 // Append appends the encoded message of the given kind, KindForward or KindReturn.
 func (f *Forward) Append(dst []byte, kind MessageKind) []byte {
-	flags := flagBit(f.Overloaded, forwardOverloaded) | flagBit(f.Final, forwardFinal) | flagBit(f.Assigned, forwardAssigned)
+	flags := flagBit(f.Overloaded, forwardOverloaded) | flagBit(f.Final, forwardFinal) | flagBit(f.Assigned, forwardAssigned) |
+		flagBit(f.Relayed, forwardRelayed)
 	dst = append(dst, byte(kind), flags)
 	dst = append(dst, byte(int8(max(-128, min(f.Urgency, 127)))))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(f.Service))
@@ -60,6 +63,7 @@
 	f.Overloaded = flags&forwardOverloaded != 0
 	f.Final = flags&forwardFinal != 0
 	f.Assigned = flags&forwardAssigned != 0
+	f.Relayed = flags&forwardRelayed != 0
 	f.Urgency = int(int8(r.byte()))
 	f.Service = NameHash(r.uint64())
 	f.Origin = r.endpoint()
--- a/lib/flows/liveness.go
+++ b/lib/flows/liveness.go
@@ -249,9 +249,14 @@
 	if a.lastReport.IsZero() || gap <= slowReportInterval+reportGrace {
 		return
 	}
+	a.forgive(now, gap)
+}
+
+// forgive takes a time that has just passed out of the silence of all agents.
+func (a *Agents) forgive(now time.Time, duration time.Duration) {
 	for _, agent := range a.byAddress {
 		if agent.reportPending && !agent.dormant {
-			agent.pendingSince = agent.pendingSince.Add(min(gap, now.Sub(agent.pendingSince)))
+			agent.pendingSince = agent.pendingSince.Add(min(duration, now.Sub(agent.pendingSince)))
 			agent.helloInterval = minHelloInterval
 		}
 	}
--- a/lib/flows/message.go
+++ b/lib/flows/message.go
@@ -24,6 +24,16 @@
 	KindJoin
 	// KindDigest tells a balancer which configuration and members another balancer has.
 	KindDigest
+	// KindZones tells an agent whether its availability zone is emptied.
+	KindZones
+	// KindLimits tells an agent the limits of its service.
+	KindLimits
+	// KindQuery asks a balancer which of some agents it hears.
+	KindQuery
+	// KindHeard answers KindQuery with the agents that are heard.
+	KindHeard
+	// KindRelay carries a caller's packet to a balancer that hears an agent which its sender doesn't hear.
+	KindRelay
 )
 
 const (
--- a/lib/flows/network_test.go
+++ b/lib/flows/network_test.go
@@ -213,6 +213,9 @@
 		verdict.Send(func(forward *Forward, to Endpoint) {
 			n.send(testPacket{forward: *forward, from: balancer, kind: KindForward, packet: packet, to: to})
 		})
+	case ActRelay:
+		packet.Relayed = true
+		n.applyVerdict(verdict.RelayTo, n.directors[verdict.RelayTo].HandlePacket(n.now, packet, []byte{1}), packet)
 	case ActReset:
 		n.recordReset(verdict.Flow, verdict.Reason)
 	}
--- a/lib/flows/opening.go
+++ b/lib/flows/opening.go
@@ -6,9 +6,11 @@
 )
 
 // Tick returns the verdicts about queued openings, newest first, that an agent can accept now, that have no route, or
-// that have been queued for MaxQueueTime.
+// that have been queued for MaxQueueTime, after the resets of flows for which no other balancer has to be asked any more. It
+// must be called regularly.
 func (d *Director) Tick(now time.Time) []Verdict {
-	var verdicts []Verdict
+	d.forgiveStall(now)
+	verdicts := d.resolveResets(now, func(pending pendingReset) bool { return pending.listed })
 	unavailable := map[NameHash]bool{} // services without an agent that accepts new flows
 	for _, flow := range d.newestOpenings() {
 		opening := d.queuedOpenings[flow]
--- a/lib/flows/packet.go
+++ b/lib/flows/packet.go
@@ -25,6 +25,7 @@
 	Flags       Flags
 	Length      int           // bytes of data
 	OpeningAge  time.Duration // time since the caller first sent this opening; zero when the packet does not state it
+	Relayed     bool          // another balancer has relayed it, which can't deliver it
 	RequestID   string        // ID of the request that starts in the data; empty when it can't be read
 	Seq         uint32
 	Source      Endpoint
--- a/lib/flows/search.go
+++ b/lib/flows/search.go
@@ -23,6 +23,7 @@
 
 // pendingReset is a flow that no known agent holds and that is reset once a fresh list of members confirms it.
 type pendingReset struct {
+	listed    bool      // the list of members has confirmed it, but it is not known whether other balancers hear some agents
 	requestID string    // ID of the request in the flow's packet; empty when it could not be read
 	seq       uint32    // sequence number of the reset
 	since     time.Time // when the reset began to wait for a list of members
@@ -92,6 +93,9 @@
 // awaitMembers requests a fresh list of members, after which a flow that no known agent holds is reset.
 func (d *Director) awaitMembers(now time.Time, p Packet, search *flowSearch) Verdict {
 	flow := p.CallerFlow()
+	if balancer, ok := d.relayToHolder(now, p, search.rejectedBy); ok {
+		return relayVerdict(p, balancer)
+	}
 	if len(search.rejectedBy) == 0 || p.Flags.Has(FlagReset) || d.config.Policy.WithoutProofs {
 		return Verdict{Flow: flow, Reason: ReasonNoAgent, RequestID: p.RequestID}
 	}
@@ -111,24 +115,31 @@
 	return search
 }
 
-// ResolvePendingResets returns resets of the flows that no known agent can hold; the agents on a fresh list of members
-// must have been added before. The list was requested from the store at requestedAt, so flows that began to wait for a
-// list later are skipped.
+// ResolvePendingResets returns resets of the flows that no agent can hold; the agents on a fresh list of members must have
+// been added before. The list was requested from the store at requestedAt, so flows that began to wait for a list later are
+// skipped. Flows that an agent may hold which is silent here wait until all other balancers have been asked about it; Tick
+// returns their resets.
 func (d *Director) ResolvePendingResets(now, requestedAt time.Time) []Verdict {
+	return d.resolveResets(now, func(pending pendingReset) bool { return !pending.since.After(requestedAt) })
+}
+
+// resolveResets decides about the matching pending resets.
+func (d *Director) resolveResets(now time.Time, matches func(pendingReset) bool) []Verdict {
 	var verdicts []Verdict
 	for flow, pending := range d.pendingResets {
-		if pending.since.After(requestedAt) {
+		if !matches(pending) {
 			continue
 		}
-		delete(d.pendingResets, flow)
-		search, ok := d.searches.Get(now, flow)
-		if !ok {
-			continue
+		switch d.endOf(now, flow) {
+		case endUnproved:
+			delete(d.pendingResets, flow)
+		case endAwaited:
+			pending.listed = true
+			d.pendingResets[flow] = pending
+		case endProved:
+			delete(d.pendingResets, flow)
+			verdicts = append(verdicts, Verdict{Action: ActReset, Flow: flow, Reason: ReasonOwnerEnded, RequestID: pending.requestID, Seq: pending.seq})
 		}
-		if _, routed := d.routes.ByAddress[flow.Service]; !routed || len(d.possibleOwners(now, flow, search.rejectedBy)) > 0 {
-			continue
-		}
-		verdicts = append(verdicts, Verdict{Action: ActReset, Flow: flow, Reason: ReasonOwnerEnded, RequestID: pending.requestID, Seq: pending.seq})
 	}
 	slices.SortFunc(verdicts, func(a, b Verdict) int { return a.Flow.Compare(b.Flow) })
 	return verdicts
@@ -177,4 +188,11 @@
 }
 
 // HasPendingResets reports whether resets of flows wait for a fresh list of members.
-func (d *Director) HasPendingResets() bool { return len(d.pendingResets) > 0 }
+func (d *Director) HasPendingResets() bool {
+	for _, pending := range d.pendingResets {
+		if !pending.listed {
+			return true
+		}
+	}
+	return false
+}
