Place new flows on a subset of a service's agents

Callers paid for bytes between availability zones: each balancer placed flows on all agents of a service and sent each of them a hello a second, so that messages grew with balancers x agents.

Change: the settings subsetOwn and subsetOther bound the agents that a balancer uses for new flows, most of them in its own zone, chosen by rendezvous hashing; with fewer than six that accept flows it uses all.

--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -16,6 +16,7 @@
 	"github.com/cyclamendock/cyclamendock/lib/peer"
 	"github.com/cyclamendock/cyclamendock/lib/stats"
 	"github.com/cyclamendock/cyclamendock/lib/store"
+	"github.com/cyclamendock/cyclamendock/lib/subset"
 	"github.com/cyclamendock/cyclamendock/lib/trust"
 	"github.com/cyclamendock/cyclamendock/lib/udpio"
 )
@@ -45,6 +46,7 @@
 	Seeds          []netip.AddrPort                         // balancers to contact before the members are known
 	Stats          *stats.Server
 	Store          store.Store
+	Subset         subset.Config // agents of a service that new flows are placed on
 	Trust          *trust.Allowlist
 	Zone           string
 }
@@ -92,6 +94,7 @@
 			MaxQueueTime: maxQueueTime,
 			Policy:       config.Policy,
 			Self:         flows.EndpointOf(config.Address),
+			Subset:       config.Subset,
 			Zone:         flows.HashName(config.Zone),
 		}),
 		directory: member.NewDirectory(member.Config{
--- a/lib/flows/agents.go
+++ b/lib/flows/agents.go
@@ -43,6 +43,7 @@
 	lastUsed   map[NameHash]time.Time      // time of the last packet for each service
 	leftAt     *Cache[Endpoint, time.Time] // time at which the agent of each address left
 	lostAfter  time.Duration
+	subsets    subsets
 }
 
 // NewAgents returns an empty set. An agent that is silent for lostAfter counts as lost, as callers have given up on its
@@ -131,6 +132,7 @@
 	if woken || first || agent.report.Service != report.Service {
 		a.removeFromService(agent)
 		a.byService[report.Service] = append(a.byService[report.Service], agent)
+		a.subsets.invalidate(report.Service)
 	}
 	if first {
 		agent.meanBusy = float64(report.Busy)
@@ -251,12 +253,16 @@
 
 // ranked returns the agents of a service ordered by rendezvous hashing with a flow.
 func (a *Agents) ranked(service NameHash, flow Flow) []*agentState {
+	return rankedBy(a.byService[service], flow)
+}
+
+// rankedBy returns agents ordered by rendezvous hashing with a flow.
+func rankedBy(agents []*agentState, flow Flow) []*agentState {
 	hash := flow.Hash()
 	type scored struct {
 		agent *agentState
 		score uint64
 	}
-	agents := a.byService[service]
 	scores := make([]scored, len(agents))
 	for i, agent := range agents {
 		scores[i] = scored{agent: agent, score: mix(hash, agent.address.key())}
@@ -272,6 +278,7 @@
 // removeFromService removes an agent from the agents of its service.
 func (a *Agents) removeFromService(agent *agentState) {
 	agents := a.byService[agent.report.Service]
+	a.subsets.invalidate(agent.report.Service)
 	a.byService[agent.report.Service] = slices.DeleteFunc(agents, func(other *agentState) bool { return other == agent })
 }
 
--- a/lib/flows/director.go
+++ b/lib/flows/director.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/lib/reach"
+	"github.com/cyclamendock/cyclamendock/lib/subset"
 )
 
 // Reason tells why a packet was dropped, queued or answered with a reset.
@@ -92,7 +93,8 @@
 	LostAfter    time.Duration // silence after which an agent is lost, as callers have given up on its flows
 	MaxQueueTime time.Duration // longest time that a new flow is queued until an agent accepts it
 	Policy       Policy
-	Self         Endpoint // balancer's address for messages between processes
+	Self         Endpoint      // balancer's address for messages between processes
+	Subset       subset.Config // agents of a service that new flows are placed on
 	Zone         NameHash
 }
 
@@ -121,8 +123,10 @@
 
 // NewDirector returns a director without routes and agents.
 func NewDirector(config DirectorConfig) *Director {
+	agents := NewAgents(config.LostAfter)
+	agents.subsets = newSubsets(config)
 	return &Director{
-		Agents:            NewAgents(config.LostAfter),
+		Agents:            agents,
 		config:            config,
 		hints:             NewCache[Flow, Endpoint](hintCapacity, config.FlowLifetime),
 		pendingResets:     map[Flow]pendingReset{},
--- a/lib/flows/liveness.go
+++ b/lib/flows/liveness.go
@@ -74,7 +74,7 @@
 	if agent.report.State != StateReady && silence > dormantHelloInterval {
 		return true
 	}
-	return silence > staleAfter && now.Sub(a.lastUsed[agent.report.Service]) < serviceUseWindow
+	return silence > staleAfter && now.Sub(a.lastUsed[agent.report.Service]) < serviceUseWindow && a.inSubset(agent)
 }
 
 // Suspect reports whether an agent is not in the set, has never reported, or has an overdue report.
@@ -217,6 +217,7 @@
 	a.wake(agent)
 	if !agent.lastReport.IsZero() {
 		a.byService[agent.report.Service] = append(a.byService[agent.report.Service], agent)
+		a.subsets.invalidate(agent.report.Service)
 	}
 	agent.helloInterval = minHelloInterval
 	agent.pendingSince = now
--- a/lib/flows/place.go
+++ b/lib/flows/place.go
@@ -21,7 +21,7 @@
 	var chosen []Endpoint
 	a.lastUsed[service] = now
 	mayPlace := a.placementFilter(now, service)
-	for _, agent := range a.ranked(service, flow) {
+	for _, agent := range rankedBy(a.placeable(service, mayPlace), flow) {
 		if !mayPlace(agent) || slices.Contains(skip, agent.address) {
 			continue
 		}
