Count a request's service time from the start of its service

Cause: past the capacity the agent's mean service time fell to half and less. A sample ran from the request's arrival, scaled by slots over requests in progress, and a refusal of the backend server (status 503) counted as an answer of 0 ms. So the agent delivered far more than slots and queue can hold, and the backend server shed it.

The agent tracks the backend server as a queue in order of arrival (lib/fifo): a sample is the time in service. Each end of a request frees its place.

Tests of lib/fifo, lib/flows, platform and standin/model pass.

--- a/lib/flows/admission.go
+++ b/lib/flows/admission.go
@@ -44,7 +44,7 @@
 		d.admissions = d.admissions[1:]
 		state, ok := d.flows.Peek(now, oldest.flow)
 		if ok && state.inProgress && !state.requestSeen && state.startedAt.Equal(oldest.at) {
-			d.clearRequest(state)
+			d.clearRequest(now, oldest.flow, state)
 		}
 	}
 }
--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/fifo"
 )
 
 const (
@@ -99,11 +101,12 @@
 	held            heldAddresses
 	listing         Listing
 	meanHandshake   time.Duration // moving average of the time from a flow's admission to its first request; zero until known
-	meanServiceTime time.Duration // moving average; zero until a request has been answered
+	meanServiceTime time.Duration // moving average of the time in service; zero until a request has been answered
 	nextEcho        uint32
 	overload        overload
 	queue           *WaitQueue
-	restored        restoredFlows // see Restore
+	restored        restoredFlows     // see Restore
+	service         *fifo.Queue[Flow] // requests that the backend server has not answered
 	subscribers     *Subscribers
 }
 
@@ -117,6 +120,7 @@
 		held:        heldAddresses{knownFrom: config.KnownFrom, lastSeen: map[Endpoint]time.Time{}, lifetime: config.FlowLifetime},
 		nextEcho:    config.FirstEcho,
 		queue:       NewWaitQueue(queueCapacity),
+		service:     fifo.NewQueue[Flow](),
 		subscribers: NewSubscribers(),
 	}
 }
@@ -153,7 +157,7 @@
 		return d.handleNotHeld(now, &f, p)
 	}
 	if state, ok := d.flows.Get(now, flow); ok && !state.established {
-		d.removeFlow(flow, state)
+		d.removeFlow(now, flow, state)
 		f.Overloaded = true
 	}
 	return d.forwardOrReturn(&f, p)
@@ -166,7 +170,7 @@
 	if state, ok := d.flows.Get(now, flow); ok {
 		verdict := AgentVerdict{Action: AgentReset, Flow: flow, Reason: ReasonOwnerEnded, RequestID: state.requestID, Seq: p.Ack}
 		d.recordEnded(now, flow, state, EndingLost)
-		d.removeFlow(flow, state)
+		d.removeFlow(now, flow, state)
 		if state.established {
 			return verdict
 		}
@@ -192,13 +196,14 @@
 			Action: AgentReset, Flow: flow, Reason: ReasonOwnerEnded, RequestID: state.requestID, Seq: state.lastAck,
 		})
 		d.recordEnded(now, flow, state, EndingLost)
-		d.clearRequest(state)
+		d.clearRequest(now, flow, state)
 	})
 	slices.SortFunc(verdicts, func(a, b AgentVerdict) int { return a.Flow.Compare(b.Flow) })
 	for _, verdict := range verdicts {
 		d.flows.Delete(verdict.Flow)
 	}
 	d.held.clear()
+	d.service.Clear()
 	return verdicts
 }
 
@@ -223,13 +228,13 @@
 	}
 	state.tentative = false
 	if p.Length > 0 && state.inProgress && state.requestSeen {
-		d.recordAnswered(now, flow, state)
+		d.recordAnswered(now, flow, state, p.Failed)
 	}
 	if !p.Flags.Has(FlagSyn) {
 		state.established = true
 	}
 	if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
-		d.removeFlow(flow, state)
+		d.removeFlow(now, flow, state)
 		return Endpoint{}, false
 	}
 	balancer, state.ownerRecipient = state.ownerRecipient, Endpoint{}
@@ -293,6 +298,10 @@
 			d.busy++
 		}
 	})
+	d.service.Retain(now, func(flow Flow) bool {
+		state, ok := d.flows.Peek(now, flow)
+		return ok && state.inProgress && state.requestSeen
+	})
 }
 
 // Waiting returns the number of queued new flows and requests.
--- a/lib/flows/packet.go
+++ b/lib/flows/packet.go
@@ -22,6 +22,7 @@
 	Ack         uint32
 	Destination Endpoint
 	Echo        uint32 // set by the agent and returned by the backend server in a bounced packet
+	Failed      bool   // the data begins a response by which the backend server states that it has failed or refuses
 	Flags       Flags
 	Length      int           // bytes of data
 	OpeningAge  time.Duration // time since the caller first sent this opening; zero when the packet does not state it
--- a/lib/flows/requests.go
+++ b/lib/flows/requests.go
@@ -44,7 +44,7 @@
 	state.lastAck = p.Ack
 	if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
 		d.recordEnded(now, flow, state, EndingAbandoned) // the caller expects no response any more
-		d.clearRequest(state)
+		d.clearRequest(now, flow, state)
 		return
 	}
 	if p.Length == 0 || !state.inProgress && !state.hasNewData(p) {
@@ -58,6 +58,8 @@
 		state.requestID = p.RequestID
 		state.requestSeen = true
 		state.startedAt = now
+		d.service.SetSlots(now, d.config.Server.Slots())
+		d.service.Arrive(now, flow)
 	}
 	if state.hasNewData(p) {
 		state.nextSeq = p.Seq + uint32(p.Length)
@@ -103,12 +105,15 @@
 	return ended
 }
 
-// clearRequest records that a flow has no request in progress.
-func (d *Dispatcher) clearRequest(state *flowState) {
+// clearRequest records that a flow has no request in progress, and returns the time for which the request was in service
+// at the backend server; it reports false when that is not known.
+func (d *Dispatcher) clearRequest(now time.Time, flow Flow, state *flowState) (time.Duration, bool) {
 	if state.inProgress {
 		d.busy = max(0, d.busy-1)
 	}
 	state.endRequest()
+	d.service.SetSlots(now, d.config.Server.Slots())
+	return d.service.End(now, flow)
 }
 
 // endRequest forgets the request in progress.
@@ -119,14 +124,13 @@
 	s.requestSeen = false
 }
 
-// recordAnswered records that the response to a request has begun, and updates the mean service time. When more requests
-// were in progress than there are slots, only this request's share of the elapsed time counts as its service time.
-func (d *Dispatcher) recordAnswered(now time.Time, flow Flow, state *flowState) {
+// recordAnswered records that the response to a request has begun, and updates the mean service time. A failed response is
+// no sample: a backend server that refuses a request does so at once, which says nothing about the time that others take.
+func (d *Dispatcher) recordAnswered(now time.Time, flow Flow, state *flowState, failed bool) {
 	d.recordEnded(now, flow, state, EndingAnswered)
-	d.clearRequest(state)
-	serviceTime := now.Sub(state.startedAt)
-	if slots := d.config.Server.Slots(); state.inFlight > slots {
-		serviceTime = serviceTime * time.Duration(slots) / time.Duration(state.inFlight)
+	serviceTime, ok := d.clearRequest(now, flow, state)
+	if failed || !ok {
+		return
 	}
 	if d.meanServiceTime == 0 {
 		d.meanServiceTime = serviceTime
@@ -135,7 +139,7 @@
 }
 
 // removeFlow stops tracking a flow.
-func (d *Dispatcher) removeFlow(flow Flow, state *flowState) {
+func (d *Dispatcher) removeFlow(now time.Time, flow Flow, state *flowState) {
 	d.flows.Delete(flow)
-	d.clearRequest(state)
+	d.clearRequest(now, flow, state)
 }
--- a/standin/model/hosts.go
+++ b/standin/model/hosts.go
@@ -346,6 +346,7 @@
 
 func (b *flowBackend) reply(p flows.Packet, flags flows.Flags, length int) {
 	b.host.sendToCaller(flows.Packet{
-		Ack: p.Seq + uint32(p.Length), Destination: p.Source, Flags: flags, Length: length, Source: p.Destination,
+		Ack: p.Seq + uint32(p.Length), Destination: p.Source, Failed: length == shedResponseLength, Flags: flags, Length: length,
+		Source: p.Destination,
 	})
 }
