Pace backend servers that start or recover, and enforce their limits

Cause: a backend server that has just started reports no work, so every balancer sends it new flows before its next report; nothing bounds what a cold one is given in a second, nor how many flows it holds.

Change: lib/pace limits the requests in progress of a backend server that starts or recovers (one at first, one more with each good response), the new flows that a cold one gets in any sliding second, and its flows. The agent applies it to the work of all balancers and reports its room; balancers skip agents without room and send it the limits of the configuration (Limits).

--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -16,6 +16,7 @@
 	"github.com/cyclamendock/cyclamendock/lib/logs"
 	"github.com/cyclamendock/cyclamendock/lib/member"
 	"github.com/cyclamendock/cyclamendock/lib/netio"
+	"github.com/cyclamendock/cyclamendock/lib/pace"
 	"github.com/cyclamendock/cyclamendock/lib/snap"
 	"github.com/cyclamendock/cyclamendock/lib/stats"
 	"github.com/cyclamendock/cyclamendock/lib/store"
@@ -42,7 +43,8 @@
 	Ignored          *netio.IgnoredInputs
 	Inlet            netip.AddrPort // address at which the backend server receives packets
 	Log              *logs.Logger
-	Outlet           netip.AddrPort   // own address at which the backend server's packets arrive
+	Outlet           netip.AddrPort // own address at which the backend server's packets arrive
+	Pacing           pace.Settings
 	Seeds            []netip.AddrPort // balancers to report to before the member list is read
 	Service          string
 	Stats            *stats.Server
@@ -101,6 +103,7 @@
 			FirstEcho:    rand.Uint32(),
 			FlowLifetime: config.FlowLifetime,
 			KnownFrom:    knownFrom,
+			Pacing:       config.Pacing,
 			Self:         flows.EndpointOf(config.Address),
 			Server:       server,
 			Service:      flows.HashName(config.Service),
--- a/agent/tuple/observe.go
+++ b/agent/tuple/observe.go
@@ -7,6 +7,7 @@
 
 	"github.com/cyclamendock/cyclamendock/lib/flows"
 	"github.com/cyclamendock/cyclamendock/lib/logs"
+	"github.com/cyclamendock/cyclamendock/lib/pace"
 	"github.com/cyclamendock/cyclamendock/lib/stats"
 )
 
@@ -23,6 +24,7 @@
 	endedRequests     map[flows.Ending]*metrics.Counter
 	flowResets        *metrics.Counter
 	forwardedPackets  *metrics.Counter
+	rejectedOpenings  map[pace.Refusal]*metrics.Counter
 	requestSeconds    *metrics.Histogram
 	unansweredLimiter *logs.Limiter
 }
@@ -33,12 +35,16 @@
 		endedRequests:     map[flows.Ending]*metrics.Counter{},
 		flowResets:        server.Counter("cyclamendock_agent_flows_reset_total"),
 		forwardedPackets:  server.Counter("cyclamendock_agent_packets_passed_total"),
+		rejectedOpenings:  map[pace.Refusal]*metrics.Counter{},
 		requestSeconds:    server.Histogram("cyclamendock_agent_request_seconds"),
 		unansweredLimiter: logs.NewLimiter(unansweredLogsPerSecond),
 	}
 	for _, ending := range []flows.Ending{flows.EndingAbandoned, flows.EndingAnswered, flows.EndingLost, flows.EndingTimedOut} {
 		m.endedRequests[ending] = server.Counter("cyclamendock_agent_requests_total", "ending", string(ending))
 	}
+	for _, refusal := range []pace.Refusal{pace.RefusedCold, pace.RefusedFlows, pace.RefusedPace} {
+		m.rejectedOpenings[refusal] = server.Counter("cyclamendock_agent_openings_rejected_total", "reason", string(refusal))
+	}
 	return m
 }
 
@@ -54,6 +60,9 @@
 	gauge("cyclamendock_agent_flows", n.dispatcher.Flows)
 	gauge("cyclamendock_agent_requests_in_progress", n.dispatcher.Busy)
 	gauge("cyclamendock_agent_flows_waiting", n.dispatcher.Waiting)
+	gauge("cyclamendock_agent_pace", n.dispatcher.Pace)
+	gauge("cyclamendock_agent_room", func() int { return limitGauge(n.dispatcher.Room(time.Now())) })
+	gauge("cyclamendock_agent_flows_limit", func() int { return limitGauge(n.dispatcher.FlowLimit(time.Now())) })
 	gauge("cyclamendock_agent_backend_ready", func() int {
 		if n.server.State(time.Now()) == flows.StateReady {
 			return 1
@@ -62,6 +71,28 @@
 	})
 }
 
+// limitGauge returns the value of a gauge for a limit, -1 for none.
+func limitGauge(limit int) int {
+	if limit == pace.Unlimited {
+		return -1
+	}
+	return limit
+}
+
+// recordPace logs the begins and ends of slow starts, and counts the openings rejected by reason.
+func (n *Node) recordPace(changes []pace.Change, refusals map[pace.Refusal]int) {
+	for _, change := range changes {
+		if change.Began {
+			n.config.Log.Info("Slow start has begun.", logs.Fields{"cause": string(change.Cause)})
+			continue
+		}
+		n.config.Log.Info("Slow start has ended.", logs.Fields{"cause": string(change.Cause), "took": change.Took.Round(time.Millisecond).String()})
+	}
+	for refusal, count := range refusals {
+		n.meter.rejectedOpenings[refusal].Add(count)
+	}
+}
+
 // recordEnded counts all requests that have ended and logs as many as the rate limits allow.
 func (n *Node) recordEnded(now time.Time, ended []flows.Ended) {
 	for _, e := range ended {
--- a/agent/tuple/packets.go
+++ b/agent/tuple/packets.go
@@ -90,6 +90,8 @@
 		var join flows.Join
 		join.Decode(message)
 		n.requestJoin(join)
+	case flows.KindLimits:
+		n.handleLimits(now, message, from)
 	default:
 		n.config.Ignored.Record(now, netio.InputMessage, from.String(), "unknown kind of message")
 	}
@@ -109,6 +111,21 @@
 	out.QueueMessage(report.Append, flows.EndpointOf(from))
 }
 
+func (n *Node) handleLimits(now time.Time, message []byte, from netip.AddrPort) {
+	var limits flows.Limits
+	if !limits.Decode(message) {
+		n.config.Ignored.Record(now, netio.InputMessage, from.String(), "malformed message")
+		return
+	}
+	n.mu.Lock()
+	applied := n.dispatcher.SetLimits(limits)
+	n.mu.Unlock()
+	if applied {
+		n.config.Log.Info("Limits applied.", logs.Fields{"coldPerSecond": limits.ColdPerSecond, "flows": limits.MaxFlows, "version": limits.Version})
+		n.requestReport()
+	}
+}
+
 func (n *Node) handleForward(now time.Time, out *netio.Sender, message []byte, from netip.AddrPort) {
 	var f flows.Forward
 	if !f.Decode(message) {
--- a/agent/tuple/timers.go
+++ b/agent/tuple/timers.go
@@ -58,8 +58,11 @@
 	n.mu.Lock()
 	released := n.dispatcher.Release(now)
 	ended := n.dispatcher.TakeEnded()
+	changes := n.dispatcher.TakePaceChanges()
+	refusals := n.dispatcher.TakeRefusals()
 	n.mu.Unlock()
 	n.recordEnded(now, ended)
+	n.recordPace(changes, refusals)
 	for i := range released {
 		n.execute(now, out, &released[i], nil)
 	}
--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -84,6 +84,7 @@
 	queries := n.director.DueQueries(now)
 	n.mu.Unlock()
 	n.sendQueries(queries)
+	n.sendLimits(now)
 	for i := range verdicts {
 		n.execute(now, out, &verdicts[i], verdicts[i].Forward.Datagram)
 	}
--- a/balancer/tuple/packets.go
+++ b/balancer/tuple/packets.go
@@ -138,6 +138,7 @@
 		n.newAgents.record(report)
 	}
 	n.mu.Unlock()
+	n.sendLimits(now)
 	if mustJoin {
 		n.socket.Send(flows.Join{}.Append(nil), sender.AddrPort())
 	}
@@ -147,6 +148,16 @@
 	return true
 }
 
+// sendLimits sends the limits of their service to the agents that don't know them or had others.
+func (n *Node) sendLimits(now time.Time) {
+	n.mu.Lock()
+	messages := n.director.TakeLimits(now)
+	n.mu.Unlock()
+	for _, message := range messages {
+		n.socket.Send(message.Limits.Append(nil), message.Agent.AddrPort())
+	}
+}
+
 func (n *Node) logSocketError(senders string, err error) {
 	if n.ctx.Err() == nil {
 		n.config.Log.Error("The socket for "+senders+" has failed.", err, nil)
--- a/lib/flows/accept.go
+++ b/lib/flows/accept.go
@@ -1,6 +1,10 @@
 package flows
 
-import "time"
+import (
+	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/pace"
+)
 
 // handleOpening admits a new flow, or forwards or queues it when the backend server is too busy.
 func (d *Dispatcher) handleOpening(now time.Time, f *Forward, p Packet) AgentVerdict {
@@ -8,11 +12,14 @@
 		return d.forwardOrReturn(f, p)
 	}
 	flow := p.CallerFlow()
-	if d.queue.find(flow) != nil {
+	if d.queue.find(flow) != nil || d.coldQueue.find(flow) != nil {
 		return AgentVerdict{Flow: flow, Reason: ReasonQueued}
 	}
 	if _, repeated := d.flows.Get(now, flow); repeated {
-		return d.deliver(f, p)
+		return d.repeatOpening(now, f, p)
+	}
+	if refusal := d.refuse(now, f); refusal != pace.RefusedNone {
+		return d.rejectOpening(now, f, p, refusal)
 	}
 	if d.queue.Len() > 0 || !d.serverLoad().meetsTarget(f.LatencyTarget) {
 		return d.handleOverload(now, f, p)
@@ -25,7 +32,7 @@
 	if len(f.RejectedBy) > 0 {
 		state.ownerRecipient = f.Origin
 	}
-	return d.deliver(f, p)
+	return d.deliverOpening(now, f, p)
 }
 
 // admit starts tracking a new flow as in progress and reports false when the flow table is full.
--- a/lib/flows/agents.go
+++ b/lib/flows/agents.go
@@ -25,7 +25,9 @@
 	helloPending  bool          // the pending report was requested by a hello, which is answered at once
 	helloInterval time.Duration // shortest time until the next hello
 	lastHello     time.Time
+	lastLimits    time.Time // when it was last sent the limits of its service
 	lastReport    time.Time // zero when it has never reported
+	limitsDue     bool      // it is in Agents.limitsDue
 	listing       Listing   // as far as this balancer knows
 	marked        bool      // its entry is marked for removal, as far as this balancer knows
 	meanBusy      float64   // moving average of the requests in progress
@@ -42,6 +44,7 @@
 	lastReport time.Time                   // time of the last report of any agent
 	lastUsed   map[NameHash]time.Time      // time of the last packet for each service
 	leftAt     *Cache[Endpoint, time.Time] // time at which the agent of each address left
+	limitsDue  []Endpoint                  // agents that are to be sent the limits of their service
 	lostAfter  time.Duration
 }
 
@@ -147,6 +150,9 @@
 	}
 	agent.report = report
 	agent.reportPending = false
+	if !report.LimitsKnown {
+		a.requestLimits(now, agent)
+	}
 	return changed
 }
 
--- a/lib/flows/director.go
+++ b/lib/flows/director.go
@@ -153,6 +153,7 @@
 			d.learnService(address, share.Service)
 		}
 	}
+	d.changeLimits(routes)
 	d.routes = routes
 	return true
 }
--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/pace"
 )
 
 const (
@@ -57,7 +59,8 @@
 	FirstEcho    uint32        // random, so that bounced packets of an earlier process match no delivery of this one
 	FlowLifetime time.Duration // time after which an idle flow is forgotten
 	KnownFrom    time.Time     // from when this process knows all flows of its backend server; zero if it does from the start
-	Self         Endpoint      // agent's address for messages between processes
+	Pacing       pace.Settings
+	Self         Endpoint // agent's address for messages between processes
 	Server       *Server
 	Service      NameHash
 	Zone         NameHash
@@ -92,6 +95,7 @@
 	admissions      []admission            // new flows whose first request is expected, oldest first
 	busy            int                    // requests in progress
 	closed          *Cache[Flow, struct{}] // flows that the backend server has closed a short time ago
+	coldQueue       *WaitQueue             // new flows that wait until the limit for cold backend servers permits them
 	config          DispatcherConfig
 	deliveries      []delivery // ring, indexed by echo
 	ended           []Ended    // requests that ended since the last TakeEnded
@@ -102,28 +106,39 @@
 	meanServiceTime time.Duration // moving average; zero until a request has been answered
 	nextEcho        uint32
 	overload        overload
+	pacer           *pace.Pacer
 	queue           *WaitQueue
-	restored        restoredFlows // see Restore
+	refusals        map[pace.Refusal]int // openings rejected since the last TakeRefusals
+	restored        restoredFlows        // see Restore
+	restoredUnseen  int                  // restored flows that are not in flows, as of the last Sweep
 	subscribers     *Subscribers
 }
 
 // NewDispatcher returns a dispatcher without flows.
 func NewDispatcher(config DispatcherConfig) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		closed:      NewCache[Flow, struct{}](closedCapacity, closedLifetime),
+		coldQueue:   NewWaitQueue(queueCapacity),
 		config:      config,
 		deliveries:  make([]delivery, deliveryTableSize),
 		flows:       NewCache[Flow, *flowState](flowCapacity, config.FlowLifetime),
 		held:        heldAddresses{knownFrom: config.KnownFrom, lastSeen: map[Endpoint]time.Time{}, lifetime: config.FlowLifetime},
 		nextEcho:    config.FirstEcho,
+		pacer:       pace.New(config.Pacing),
 		queue:       NewWaitQueue(queueCapacity),
+		refusals:    map[pace.Refusal]int{},
 		subscribers: NewSubscribers(),
 	}
+	if !config.KnownFrom.IsZero() {
+		d.pacer.BlockCold(config.KnownFrom.Add(-config.FlowLifetime))
+	}
+	return d
 }
 
 // HandleForward decides about a packet that a balancer or another agent has forwarded.
 func (d *Dispatcher) HandleForward(now time.Time, f *Forward, p Packet) AgentVerdict {
 	d.subscribers.RecordMessage(now, f.Origin, p.IsOpening())
+	d.pacer.RecordContact(now)
 	if f.Service != d.config.Service {
 		return d.forwardOrReturn(f, p)
 	}
@@ -154,6 +169,7 @@
 	}
 	if state, ok := d.flows.Get(now, flow); ok && !state.established {
 		d.removeFlow(flow, state)
+		d.recordResponse(now, pace.Response{Failed: true})
 		f.Overloaded = true
 	}
 	return d.forwardOrReturn(&f, p)
@@ -239,6 +255,7 @@
 // HandleHello records a hello of a balancer, which subscribes it to reports.
 func (d *Dispatcher) HandleHello(now time.Time, balancer Endpoint) {
 	d.subscribers.RecordMessage(now, balancer, false)
+	d.pacer.RecordContact(now)
 }
 
 // DueReports returns the balancers to which a report is due, which are all subscribers when the state has changed.
@@ -253,14 +270,18 @@
 // Report returns the agent's current report; DueReport.Interval replaces its Interval for each balancer.
 func (d *Dispatcher) Report(now time.Time) Report {
 	addresses, known := d.held.list(now)
+	room := d.Room(now)
 	return Report{
 		Addresses:       addresses,
 		AddressesKnown:  known,
-		Busy:            d.busy + d.queue.Len(),
+		Busy:            d.busy + d.Waiting(),
 		Flows:           d.flows.Len(),
 		Interval:        slowReportInterval,
+		LimitsKnown:     d.pacer.Limits().Version > 0,
 		Listing:         d.listing,
 		MeanServiceTime: d.meanServiceTime,
+		Room:            min(room, maxStatedRoom),
+		RoomLimited:     room <= maxStatedRoom,
 		Service:         d.config.Service,
 		Slots:           d.config.Server.Slots(),
 		State:           d.config.Server.State(now),
@@ -283,20 +304,28 @@
 	d.closed.Sweep(now)
 	d.flows.Sweep(now)
 	d.held.sweep(now)
+	d.countRestored(now)
+	timedOut := 0
 	d.busy = 0
 	d.flows.Each(func(flow Flow, state *flowState) {
 		if state.inProgress && now.After(state.deadline) {
 			d.recordEnded(now, flow, state, EndingTimedOut)
+			if state.requestSeen {
+				timedOut++
+			}
 			state.endRequest()
 		}
 		if state.inProgress {
 			d.busy++
 		}
 	})
+	for range timedOut {
+		d.recordResponse(now, pace.Response{Failed: true})
+	}
 }
 
 // Waiting returns the number of queued new flows and requests.
-func (d *Dispatcher) Waiting() int { return d.queue.Len() }
+func (d *Dispatcher) Waiting() int { return d.queue.Len() + d.coldQueue.Len() }
 
 // deliver assigns the packet an echo, by which HandleBounced recognises it if the backend server returns it.
 func (d *Dispatcher) deliver(f *Forward, p Packet) AgentVerdict {
--- a/lib/flows/forward.go
+++ b/lib/flows/forward.go
@@ -10,6 +10,8 @@
 	forwardFinal      = 2
 	forwardAssigned   = 4
 	forwardRelayed    = 8
+	forwardNoRoom     = 16
+	forwardOnlyLimits = 32
 )
 
 // Forward is a caller's packet on its way to the agent that holds its flow or accepts it.
@@ -22,6 +24,8 @@
 	Least         Endpoint      // agent in RejectedBy with the shortest queue, which queues the new flow; zero when none is known
 	LeastLatency  time.Duration // time until that agent would be expected to answer
 	Next          []Endpoint    // agents to forward the packet to if it is rejected, in order
+	NoRoom        bool          // an agent in RejectedBy had no room for the new flow
+	OnlyLimits    bool          // no agent that is left has room, so that the new flow does not wait for a pace
 	Origin        Endpoint      // balancer that forwarded the packet first
 	Overloaded    bool          // an agent in RejectedBy was too busy for the new flow
 	RejectedBy    []Endpoint    // agents that did not hold or accept the flow
@@ -39,7 +43,7 @@
 // Append appends the encoded message of the given kind, KindForward or KindReturn.
 func (f *Forward) Append(dst []byte, kind MessageKind) []byte {
 	flags := flagBit(f.Overloaded, forwardOverloaded) | flagBit(f.Final, forwardFinal) | flagBit(f.Assigned, forwardAssigned) |
-		flagBit(f.Relayed, forwardRelayed)
+		flagBit(f.Relayed, forwardRelayed) | flagBit(f.NoRoom, forwardNoRoom) | flagBit(f.OnlyLimits, forwardOnlyLimits)
 	dst = append(dst, byte(kind), flags)
 	dst = append(dst, byte(int8(max(-128, min(f.Urgency, 127)))))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(f.Service))
@@ -64,6 +68,8 @@
 	f.Final = flags&forwardFinal != 0
 	f.Assigned = flags&forwardAssigned != 0
 	f.Relayed = flags&forwardRelayed != 0
+	f.NoRoom = flags&forwardNoRoom != 0
+	f.OnlyLimits = flags&forwardOnlyLimits != 0
 	f.Urgency = int(int8(r.byte()))
 	f.Service = NameHash(r.uint64())
 	f.Origin = r.endpoint()
--- a/lib/flows/opening.go
+++ b/lib/flows/opening.go
@@ -103,6 +103,7 @@
 	flow := p.CallerFlow()
 	service := route.ServiceFor(flow)
 	candidates := d.Agents.candidates(now, service, flow, skip)
+	onlyLimits := !d.Agents.anyRoom(now, service, skip)
 	if !d.config.Policy.WithoutLoads {
 		d.Agents.sortByCost(candidates, d.config.Zone)
 	}
@@ -110,7 +111,9 @@
 		return Verdict{Flow: flow, Reason: ReasonNoAgent}
 	}
 	d.hints.Put(now, flow, candidates[0])
-	return d.forwardVerdict(now, route, p, service, candidates)
+	verdict := d.forwardVerdict(now, route, p, service, candidates)
+	verdict.Forward.OnlyLimits = onlyLimits
+	return verdict
 }
 
 // retryOpening decides about an opening that every candidate so far has rejected.
@@ -118,6 +121,9 @@
 	if f.Final {
 		return resetVerdict(p, ReasonSaturated)
 	}
+	if f.NoRoom {
+		return d.retryElsewhere(now, route, p, f)
+	}
 	verdict := d.place(now, route, p, f.RejectedBy)
 	switch {
 	case verdict.Action == ActForward:
@@ -130,6 +136,31 @@
 	return d.queueOpening(now, p, f.Datagram)
 }
 
+// retryElsewhere decides about an opening that an agent has rejected for lack of room. It tries the other agents, and then the one with
+// the shortest queue of those that only their pace holds back. Few agents are tried: the list of those that have rejected the opening is
+// bounded, and its caller waits.
+func (d *Director) retryElsewhere(now time.Time, route Route, p Packet, f *Forward) Verdict {
+	d.Agents.recordNoRoom(f.RejectedBy)
+	if len(f.RejectedBy)+candidateCount <= maxAgentsPerMessage {
+		verdict := d.place(now, route, p, f.RejectedBy)
+		if verdict.Action == ActForward {
+			verdict.Forward.Least, verdict.Forward.LeastLatency = f.Least, f.LeastLatency
+			verdict.Forward.NoRoom = true
+			verdict.Forward.Overloaded = f.Overloaded
+			verdict.Forward.RejectedBy = f.RejectedBy
+			return verdict
+		}
+	}
+	if !f.Least.IsSet() {
+		return d.placeOnLeastLoaded(now, route, p)
+	}
+	d.hints.Put(now, p.CallerFlow(), f.Least)
+	verdict := d.forwardVerdict(now, route, p, route.ServiceFor(p.CallerFlow()), Chain{f.Least})
+	verdict.Forward.Final = true
+	verdict.Forward.OnlyLimits = true
+	return verdict
+}
+
 // placeOnLeastLoaded forwards an opening to the least loaded agent alone, which admits, queues or refuses it.
 func (d *Director) placeOnLeastLoaded(now time.Time, route Route, p Packet) Verdict {
 	flow := p.CallerFlow()
--- a/lib/flows/place.go
+++ b/lib/flows/place.go
@@ -16,13 +16,14 @@
 )
 
 // candidates returns the first agents in the hash order of a new flow that can be given new flows, without those in
-// skip.
+// skip. Those without room are left out while others have some.
 func (a *Agents) candidates(now time.Time, service NameHash, flow Flow, skip []Endpoint) []Endpoint {
 	var chosen []Endpoint
 	a.lastUsed[service] = now
 	mayPlace := a.placementFilter(now, service)
+	needsRoom := a.anyRoom(now, service, skip)
 	for _, agent := range a.ranked(service, flow) {
-		if !mayPlace(agent) || slices.Contains(skip, agent.address) {
+		if !mayPlace(agent) || slices.Contains(skip, agent.address) || needsRoom && !agent.hasRoom() {
 			continue
 		}
 		chosen = append(chosen, agent.address)
@@ -33,6 +34,26 @@
 	return chosen
 }
 
+// anyRoom reports whether an agent of a service that can be given new flows, and is not in skip, has room for one.
+func (a *Agents) anyRoom(now time.Time, service NameHash, skip []Endpoint) bool {
+	mayPlace := a.placementFilter(now, service)
+	return slices.ContainsFunc(a.byService[service], func(agent *agentState) bool {
+		return agent.hasRoom() && mayPlace(agent) && !slices.Contains(skip, agent.address)
+	})
+}
+
+// hasRoom reports whether an agent is expected to accept one more new flow.
+func (s *agentState) hasRoom() bool { return !s.report.RoomLimited || s.report.Room > s.assigned }
+
+// recordNoRoom records that agents have rejected a new flow for lack of room, until their next reports.
+func (a *Agents) recordNoRoom(agents []Endpoint) {
+	for _, address := range agents {
+		if agent := a.byAddress[address]; agent != nil {
+			agent.report.Room, agent.report.RoomLimited = 0, true
+		}
+	}
+}
+
 // placementFilter returns the condition on which an agent of a service is given new flows: it is eligible and on the list
 // of members, by which other balancers find its flows. An agent that has restarted and can't read the list is used while
 // the service has no listed one that may be alive, as after a power loss during an outage of the store.
@@ -76,12 +97,16 @@
 	})
 }
 
-// leastLoaded returns the agent with the lowest utilisation among those of a service that can be given new flows.
+// leastLoaded returns the agent with the lowest utilisation among those of a service that can be given new flows. One that has room
+// is preferred.
 func (a *Agents) leastLoaded(now time.Time, service NameHash) (Endpoint, bool) {
 	var best *agentState
 	mayPlace := a.placementFilter(now, service)
 	for _, agent := range a.byService[service] {
-		if mayPlace(agent) && (best == nil || agent.utilisation() < best.utilisation()) {
+		if !mayPlace(agent) || best != nil && best.hasRoom() && !agent.hasRoom() {
+			continue
+		}
+		if best == nil || agent.hasRoom() && !best.hasRoom() || agent.utilisation() < best.utilisation() {
 			best = agent
 		}
 	}
--- a/lib/flows/queueing.go
+++ b/lib/flows/queueing.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/pace"
 )
 
 // maxQueuedPackets is how many packets of a queued request are kept, as many as a caller sends without a response.
@@ -68,40 +70,56 @@
 // Release dequeues and returns the entries that the backend server has capacity for, the expired ones, and all of them
 // once it is not ready.
 func (d *Dispatcher) Release(now time.Time) []AgentVerdict {
+	d.observeServer(now)
 	if d.config.Server.State(now) != StateReady {
 		return d.drainQueue(now)
 	}
 	d.expireAdmissions(now)
 	d.overload.update(now, d.queue.hasMissed(now))
-	verdicts := d.returnOpenings(d.queue.expire(now), true)
+	verdicts := d.returnOpenings(slices.Concat(d.queue.expire(now), d.coldQueue.expire(now)), true)
 	for {
 		entry := d.queue.peek(now.Add(d.serverLoad().likelyLatency()))
 		if entry == nil || !d.serverLoad().meetsTarget(entry.forward.LatencyTarget) {
-			return verdicts
+			return append(verdicts, d.releaseCold(now)...)
 		}
 		if entry.onOpenFlow {
 			d.queue.pop(entry)
 			verdicts = append(verdicts, d.deliverQueued(now, entry)...)
 			continue
 		}
-		state, admitted := d.admit(now, entry.flow())
+		if refusal := d.pacer.Refuse(now, d.load(now), true); refusal != pace.RefusedNone {
+			d.queue.pop(entry)
+			verdicts = append(verdicts, d.rejectQueued(entry, refusal)...)
+			continue
+		}
+		verdict, admitted := d.admitQueued(now, entry)
 		if !admitted {
 			return verdicts
 		}
 		d.queue.pop(entry)
-		state.ownerRecipient = entry.forward.Origin
-		state.queueTime = now.Sub(entry.requestedAt)
-		verdict := d.deliver(&entry.forward, entry.packets[0].packet)
-		verdict.Datagram = entry.packets[0].datagram
 		verdicts = append(verdicts, verdict)
 	}
 }
 
+// admitQueued delivers the opening of a queued new flow, or reports false when the flow table is full.
+func (d *Dispatcher) admitQueued(now time.Time, entry *queueEntry) (AgentVerdict, bool) {
+	state, admitted := d.admit(now, entry.flow())
+	if !admitted {
+		return AgentVerdict{}, false
+	}
+	state.ownerRecipient = entry.forward.Origin
+	state.queueTime = now.Sub(entry.requestedAt)
+	verdict := d.deliverOpening(now, &entry.forward, entry.packets[0].packet)
+	verdict.Datagram = entry.packets[0].datagram
+	return verdict, true
+}
+
 // drainQueue empties the queue: requests are delivered to the backend server that holds their flows, and new flows are
 // returned to be placed elsewhere.
 func (d *Dispatcher) drainQueue(now time.Time) []AgentVerdict {
-	entries := d.queue.removeIf(func(*queueEntry) bool { return true })
-	verdicts := d.returnOpenings(entries, false)
+	all := func(*queueEntry) bool { return true }
+	entries := d.queue.removeIf(all)
+	verdicts := d.returnOpenings(slices.Concat(entries, d.coldQueue.removeIf(all)), false)
 	for _, entry := range entries {
 		if entry.onOpenFlow {
 			verdicts = append(verdicts, d.deliverQueued(now, entry)...)
--- a/lib/flows/report.go
+++ b/lib/flows/report.go
@@ -9,6 +9,10 @@
 const (
 	joinMissing   = 1
 	reportWarming = 1
+	reportRoom    = 4
+	reportLimits  = 8
+	// maxStatedRoom is the largest room that reports state: a larger one is no limit for a balancer before the next report.
+	maxStatedRoom = 255
 )
 
 // State is the state of a backend server as seen by its agent.
@@ -64,8 +68,11 @@
 	Busy            int           // requests in progress and queued
 	Flows           int           // open flows
 	Interval        time.Duration // longest time until the next report while the balancer keeps sending packets
+	LimitsKnown     bool          // the agent knows the limits of its service
 	Listing         Listing
 	MeanServiceTime time.Duration // mean service time of a request; zero when not known
+	Room            int           // new flows that the agent accepts; only if RoomLimited
+	RoomLimited     bool
 	Service         NameHash
 	Slots           int // requests that the backend server can run at once
 	State           State
@@ -95,7 +102,8 @@
 
 // Append appends the encoded message.
 func (p Report) Append(dst []byte) []byte {
-	dst = append(dst, byte(KindReport), byte(p.State), flagBit(p.Warming, reportWarming), byte(p.Listing))
+	flags := flagBit(p.Warming, reportWarming) | flagBit(p.RoomLimited, reportRoom) | flagBit(p.LimitsKnown, reportLimits)
+	dst = append(dst, byte(KindReport), byte(p.State), flags, byte(p.Listing))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(p.Service))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(p.Zone))
 	dst = binary.BigEndian.AppendUint16(dst, clampUint16(p.Busy))
@@ -103,6 +111,9 @@
 	dst = binary.BigEndian.AppendUint16(dst, clampUint16(p.Slots))
 	dst = binary.BigEndian.AppendUint16(dst, millisUint16(p.MeanServiceTime))
 	dst = binary.BigEndian.AppendUint16(dst, millisUint16(p.Interval))
+	if p.RoomLimited {
+		dst = binary.BigEndian.AppendUint16(dst, clampUint16(p.Room))
+	}
 	if !p.AddressesKnown {
 		return dst
 	}
@@ -114,7 +125,10 @@
 	r := reader{rest: message}
 	r.byte()
 	p.State = State(r.byte())
-	p.Warming = r.byte() == reportWarming
+	flags := r.byte()
+	p.Warming = flags&reportWarming != 0
+	p.RoomLimited = flags&reportRoom != 0
+	p.LimitsKnown = flags&reportLimits != 0
 	p.Listing = Listing(r.byte())
 	p.Service = NameHash(r.uint64())
 	p.Zone = NameHash(r.uint64())
@@ -123,6 +137,9 @@
 	p.Slots = int(r.uint16())
 	p.MeanServiceTime = time.Duration(r.uint16()) * millisecond
 	p.Interval = time.Duration(r.uint16()) * millisecond
+	if p.RoomLimited {
+		p.Room = int(r.uint16())
+	}
 	if p.AddressesKnown = len(r.rest) > 0; p.AddressesKnown {
 		p.Addresses = r.list()
 	}
--- a/lib/flows/requests.go
+++ b/lib/flows/requests.go
@@ -1,6 +1,10 @@
 package flows
 
-import "time"
+import (
+	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/pace"
+)
 
 // Ending tells how a request ended.
 type Ending string
@@ -132,6 +136,7 @@
 		d.meanServiceTime = serviceTime
 	}
 	d.meanServiceTime += time.Duration(float64(serviceTime-d.meanServiceTime) * serviceTimeWeight)
+	d.recordResponse(now, pace.Response{ServiceTime: serviceTime})
 }
 
 // removeFlow stops tracking a flow.
--- a/lib/flows/routes.go
+++ b/lib/flows/routes.go
@@ -22,6 +22,7 @@
 type Routes struct {
 	ByAddress   map[Endpoint]Route
 	IdleTimeout time.Duration // time after which an idle flow may be forgotten; zero when not set
+	Limits      map[NameHash]ServiceLimits
 	Version     uint64
 }
 
--- a/lib/flows/snapshot.go
+++ b/lib/flows/snapshot.go
@@ -64,6 +64,7 @@
 	for _, record := range snapshot.Flows {
 		d.restored.acks[record.Flow] = record.Ack
 	}
+	d.countRestored(now)
 }
 
 // Snapshot returns the flows that the backend server holds, as far as this agent knows.
@@ -93,6 +94,9 @@
 	if server.Current().StartMillis <= d.restored.startMillis && !server.Closed() {
 		return nil
 	}
+	if d.restored.startMillis > 0 {
+		d.pacer.UnblockCold()
+	}
 	var verdicts []AgentVerdict
 	if now.Before(d.restored.expires) {
 		for flow, ack := range d.restored.acks {
@@ -101,5 +105,6 @@
 	}
 	slices.SortFunc(verdicts, func(a, b AgentVerdict) int { return a.Flow.Compare(b.Flow) })
 	d.restored = restoredFlows{}
+	d.restoredUnseen = 0
 	return verdicts
 }
