--- a/lib/flows/requests.go
+++ b/lib/flows/requests.go
@@ -1,6 +1,10 @@
 package flows
 
-import "time"
+import (
+	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/pace"
+)
 
 // Ending tells how a request ended.
 type Ending string
@@ -129,6 +133,9 @@
 func (d *Dispatcher) recordAnswered(now time.Time, flow Flow, state *flowState, failed bool) {
 	d.recordEnded(now, flow, state, EndingAnswered)
 	serviceTime, ok := d.clearRequest(now, flow, state)
+	if failed {
+		d.recordResponse(now, pace.Response{Failed: true})
+	}
 	if failed || !ok {
 		return
 	}
@@ -136,6 +143,7 @@
 		d.meanServiceTime = serviceTime
 	}
 	d.meanServiceTime += time.Duration(float64(serviceTime-d.meanServiceTime) * serviceTimeWeight)
+	d.recordResponse(now, pace.Response{ServiceTime: serviceTime})
 }
 
 // removeFlow stops tracking a flow.
