--- a/cyclamendock/admin/config.go
+++ b/cyclamendock/admin/config.go
@@ -9,6 +9,7 @@
 
 // ConfigCommand groups the commands that read the configuration.
 type ConfigCommand struct {
+	Check   ConfigCheckCommand   `cmd:"" help:"Check a patch or a configuration before it is sent."`
 	History ConfigHistoryCommand `cmd:"" help:"List the most recently accepted patches."`
 	Show    ConfigShowCommand    `cmd:"" help:"Print the current configuration without its secrets."`
 }
