Cut agents off from other processes in a soak test of the real programs

The process tests could cut a process off from the store only: datagrams between processes passed no proxy, so no test of the real programs covered an agent that some balancers hear and others don't.

Change: agent and balancer take a Filter of outgoing messages, nil in the programs as built for users. The platform program built with the tag cuts sets one that drops the directions named by files in a folder.

Weighed: a proxy keeps no source addresses without a kernel feature, or has to rewrite the addresses in messages and in the store. Nodes inside the test process need a second codec, store client and announcement handler, since the platform's are in a main package, and can't be killed. The filter keeps the real programs and their restarts.

A reset is judged by when any balancer last received a report of the flow's agent, sampled from the status of all balancers.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 build:
 	mkdir -p bin
 	go build -o bin/ ./balancer ./agent ./cyclamendock ./platform ./standin
+	go build -tags cuts -o bin/platform-cuts ./platform
 
 test: build
 	SEED=$(SEED) SKIP_SPECS="$(SKIP_SPECS)" go test -count=1 -timeout 15m $(if $(SKIP_TESTS),-skip '^($(SKIP_TESTS))$$') $(PACKAGES)
--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -37,7 +37,8 @@
 	AnnounceInterval time.Duration  // interval between announcements of the backend server
 	CallerPort       uint16         // destination port of packets for callers
 	Codec            flows.Codec
-	FirstStart       bool // no agent or balancer has run before, so there are no earlier flows
+	Filter           udpio.Filter // of messages to other processes; nil passes all
+	FirstStart       bool         // no agent or balancer has run before, so there are no earlier flows
 	FlowLifetime     time.Duration
 	Ignored          *netio.IgnoredInputs
 	Inlet            netip.AddrPort // address at which the backend server receives packets
@@ -144,6 +145,7 @@
 	if n.socket, err = udpio.Listen(n.config.Address); err != nil {
 		return err
 	}
+	n.socket.SetFilter(n.config.Filter)
 	if n.outlet, err = udpio.Listen(n.config.Outlet); err != nil {
 		return err
 	}
--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -34,6 +34,7 @@
 	Codec          flows.Codec
 	ConfigDeadline time.Duration // time within which a change of the configuration must be applied
 	ConfigKey      string        // store key of the configuration
+	Filter         udpio.Filter  // of messages to other processes; nil passes all
 	FirstStart     bool          // this balancer was never registered as a member
 	FlowLifetime   time.Duration
 	Front          netip.AddrPort // local address for callers' packets
@@ -134,6 +135,7 @@
 	if n.socket, err = udpio.Listen(n.config.Address); err != nil {
 		return err
 	}
+	n.socket.SetFilter(n.config.Filter)
 	n.server, err = peer.NewServer(peer.ServerConfig{
 		Address:  n.config.Address,
 		Services: map[string]any{"Tuple": &RPCHandler{node: n}},
--- a/lib/udpio/socket.go
+++ b/lib/udpio/socket.go
@@ -23,8 +23,12 @@
 	address   netip.AddrPort
 	batchConn *ipv4.PacketConn
 	conn      *net.UDPConn
+	filter    Filter
 }
 
+// Filter reports whether a datagram to an address is sent; the others are dropped. It is called by several goroutines at once.
+type Filter func(to netip.AddrPort) bool
+
 // Listen opens a socket, or returns an Unavailable fault when the address can't be used.
 func Listen(address netip.AddrPort) (*Socket, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
@@ -40,8 +44,16 @@
 // Address returns the local address of the socket.
 func (s *Socket) Address() netip.AddrPort { return s.address }
 
+// SetFilter sets the filter of the datagrams to be sent; nil, the default, passes all. It must be called before the first one is sent.
+func (s *Socket) SetFilter(filter Filter) { s.filter = filter }
+
+func (s *Socket) passes(to netip.AddrPort) bool { return s.filter == nil || s.filter(to) }
+
 // Send writes one datagram and ignores errors, since datagrams may be lost anyway.
 func (s *Socket) Send(datagram []byte, to netip.AddrPort) {
+	if !s.passes(to) {
+		return
+	}
 	_, _ = s.conn.WriteToUDPAddrPort(datagram, to)
 }
 
@@ -124,6 +136,9 @@
 
 // Add queues a datagram that was appended to Buffer, and writes the batch when it is full.
 func (w *Writer) Add(datagram []byte, to netip.AddrPort) {
+	if !w.socket.passes(to) {
+		return
+	}
 	w.messages[w.count].Buffers[0] = datagram
 	w.ips[w.count] = to.Addr().As4()
 	w.addresses[w.count].Port = int(to.Port())
--- a/standin/soak.go
+++ b/standin/soak.go
@@ -18,17 +18,24 @@
 )
 
 type soakCommand struct {
-	Bin      string        `help:"Folder of the programs." default:"bin"`
-	Dir      string        `help:"Folder for settings and logs." default:"run/soak"`
-	Duration time.Duration `help:"How long to inject faults under each seed." default:"15s"`
-	Jobs     int           `help:"Number of seeds to run at once, up to eight." default:"1"`
-	Seed     uint64        `help:"First seed." default:"1"`
-	Seeds    uint64        `help:"Number of seeds to run." default:"1"`
+	Agents    int           `help:"Number of agents with --cuts; 5 to 9, by the seed, when not given."`
+	Balancers int           `help:"Number of balancers at the start with --cuts." default:"3"`
+	Bin       string        `help:"Folder of the programs." default:"bin"`
+	Cuts      bool          `help:"Cut agents off from all other processes and add balancers meanwhile, instead of random faults."`
+	Dir       string        `help:"Folder for settings and logs." default:"run/soak"`
+	Duration  time.Duration `help:"How long to inject random faults under each seed." default:"15s"`
+	Jobs      int           `help:"Number of seeds to run at once, up to eight." default:"1"`
+	Seed      uint64        `help:"First seed." default:"1"`
+	Seeds     uint64        `help:"Number of seeds to run." default:"1"`
 }
 
 // Run soaks the real programs under every seed, and fails when an invariant was violated.
 func (c *soakCommand) Run() error {
-	program, err := filepath.Abs(filepath.Join(c.Bin, "platform"))
+	name := "platform"
+	if c.Cuts {
+		name = "platform-cuts"
+	}
+	program, err := filepath.Abs(filepath.Join(c.Bin, name))
 	if err != nil {
 		return err
 	}
@@ -75,8 +82,8 @@
 }
 
 func (r soakResult) print() {
-	fmt.Printf("seed %d: %d faults injected, %d requests served, %d failed meanwhile, %d invariants violated\n",
-		r.seed, len(r.report.Faults), r.report.Served, r.report.Failed, len(r.report.Violations))
+	fmt.Printf("seed %d: %d faults injected, %d requests served, %d failed meanwhile, %d resets excused, %d invariants violated\n",
+		r.seed, len(r.report.Faults), r.report.Served, r.report.Failed, r.report.Excused, len(r.report.Violations))
 	if len(r.report.Violations) > 0 {
 		printViolations(r.report, r.dir)
 	}
@@ -99,7 +106,7 @@
 	for seed := range seeds {
 		result := soakResult{dir: filepath.Join(c.Dir, fmt.Sprintf("seed-%d", seed)), seed: seed}
 		if result.err = os.MkdirAll(result.dir, 0o755); result.err == nil {
-			result.report, result.err = tuple.Soak(ctx, tuple.SoakConfig{
+			result.report, result.err = c.runSeed(ctx, tuple.SoakConfig{
 				Duration:    c.Duration,
 				Network:     network,
 				ProgramPath: program,
@@ -111,6 +118,19 @@
 	}
 }
 
+// runSeed soaks the programs under one seed, with cuts or with random faults.
+func (c *soakCommand) runSeed(ctx context.Context, config tuple.SoakConfig) (tuple.SoakReport, error) {
+	if !c.Cuts {
+		return tuple.Soak(ctx, config)
+	}
+	cuts := tuple.RandomCutSoak(config)
+	cuts.Balancers = c.Balancers
+	if c.Agents > 0 {
+		cuts.Agents = c.Agents
+	}
+	return tuple.CutSoak(ctx, cuts)
+}
+
 func printViolations(report tuple.SoakReport, dir string) {
 	for _, violation := range report.Violations {
 		fmt.Println("  violated:", violation)
--- a/standin/tuple/caller.go
+++ b/standin/tuple/caller.go
@@ -105,6 +105,24 @@
 	return nil
 }
 
+// Wait reads packets of an idle flow for a while, and returns ErrReset or ErrCorrupt when one ends it.
+func (f *Flow) Wait(d time.Duration) error {
+	deadline := time.Now().Add(d)
+	for {
+		packet, err := f.receive(deadline)
+		switch {
+		case errors.Is(err, ErrTimeout):
+			return nil
+		case err != nil:
+			return err
+		case packet.Flags&Reset != 0:
+			return ErrReset
+		case len(packet.Data) > 0:
+			f.send(Ack, nil) // the previous acknowledgement was lost
+		}
+	}
+}
+
 // Close closes the flow, with a Fin packet if it is open.
 func (f *Flow) Close() {
 	if f.open {
--- a/standin/tuple/cluster.go
+++ b/standin/tuple/cluster.go
@@ -44,6 +44,7 @@
 type ClusterConfig struct {
 	Agents      int
 	Balancers   int
+	Cuts        bool          // Cut is used; ProgramPath is then the platform program with the build tag cuts
 	LostAfter   time.Duration // balancers' setting lostAfter; its default when zero
 	Network     byte          // second byte of the hosts' loopback addresses; clusters that run at once need different ones
 	ProgramPath string        // path of the platform program, which runs balancers and agents
@@ -194,7 +195,7 @@
 	var balancers []netip.AddrPort
 	for i := range c.config.Balancers {
 		balancers = append(balancers, c.Balancer(i))
-		if err := c.startProcess("balancer", 1, i, c.balancerSettings()); err != nil {
+		if err := c.startBalancer(i); err != nil {
 			return err
 		}
 	}
@@ -235,12 +236,12 @@
 	})
 }
 
-// balancerSettings returns the settings that balancers have besides those of all processes.
-func (c *Cluster) balancerSettings() map[string]any {
-	if c.config.LostAfter == 0 {
-		return nil
+func (c *Cluster) startBalancer(i int) error {
+	var settings map[string]any
+	if c.config.LostAfter != 0 {
+		settings = map[string]any{"lostAfter": c.config.LostAfter.String()}
 	}
-	return map[string]any{"lostAfter": c.config.LostAfter.String()}
+	return c.startProcess("balancer", 1, i, settings)
 }
 
 // startProcess writes the settings of a balancer or an agent and starts its process behind a proxy to the store.
@@ -277,7 +278,7 @@
 	}
 	c.processes[name] = local.NewProcess(local.ProcessConfig{
 		Arguments:   []string{role},
-		Environment: []string{"CYCLAMENDOCK_SETTINGS=" + path},
+		Environment: c.environment(path),
 		LogPath:     filepath.Join(c.config.WorkDir, name+".log"),
 		Name:        name,
 		ProgramPath: c.config.ProgramPath,
--- a/standin/tuple/routers.go
+++ b/standin/tuple/routers.go
@@ -23,6 +23,13 @@
 	return &Routers{balancers: balancers, network: network, port: port}
 }
 
+// Add puts a balancer into rotation.
+func (r *Routers) Add(balancer netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancers = append(slices.Clone(r.balancers), balancer)
+}
+
 // Remove takes a balancer out of rotation.
 func (r *Routers) Remove(balancer netip.AddrPort) {
 	r.mu.Lock()
--- a/standin/tuple/soak.go
+++ b/standin/tuple/soak.go
@@ -39,6 +39,7 @@
 
 // SoakReport holds the results of a soak test.
 type SoakReport struct {
+	Excused    int      // resets of flows whose agent no balancer had heard for long
 	Failed     int      // requests without a response while faults were injected
 	Faults     []string // injected faults, in order
 	Served     int      // requests with a correct response
@@ -332,7 +333,7 @@
 		}
 	}
 	s.checkStored()
-	for i := range soakAgents {
+	for i := range s.cluster.Backends {
 		backend := s.cluster.Backend(i)
 		if _, corruptPackets := backend.Totals(); corruptPackets > 0 {
 			s.recordViolation(fmt.Sprintf("%s received %d corrupt packets", backend.config.Name, corruptPackets))
@@ -345,7 +346,7 @@
 
 // checkStored checks that every balancer applies the latest configuration and that every process is a member.
 func (s *soak) checkStored() {
-	for i := range soakBalancers {
+	for i := range s.cluster.config.Balancers {
 		if version := s.cluster.ConfigVersion(i); version != s.configVersion {
 			s.recordViolation(fmt.Sprintf("balancer-%d applies configuration %d instead of %d", i, version, s.configVersion))
 		}
