Keep new flows out of evacuated availability zones

The operator asks for an evacuation by an object in the store. One balancer lists these objects for all, with each of its reads; the state travels in digests, and agents learn it from the answers to their reports. Balancers place no flow on such agents, and the agents accept none. Deployments without the setting zoneDeadline list nothing.

--- a/agent/tuple/observe.go
+++ b/agent/tuple/observe.go
@@ -54,6 +54,12 @@
 	gauge("cyclamendock_agent_flows", n.dispatcher.Flows)
 	gauge("cyclamendock_agent_requests_in_progress", n.dispatcher.Busy)
 	gauge("cyclamendock_agent_flows_waiting", n.dispatcher.Waiting)
+	gauge("cyclamendock_agent_zone_emptied", func() int {
+		if n.dispatcher.ZoneEvacuated() {
+			return 1
+		}
+		return 0
+	})
 	gauge("cyclamendock_agent_backend_ready", func() int {
 		if n.server.State(time.Now()) == flows.StateReady {
 			return 1
--- a/agent/tuple/packets.go
+++ b/agent/tuple/packets.go
@@ -90,6 +90,8 @@
 		var join flows.Join
 		join.Decode(message)
 		n.requestJoin(join)
+	case flows.KindZones:
+		n.handleZones(now, out, message, from)
 	default:
 		n.config.Ignored.Record(now, netio.InputMessage, from.String(), "unknown kind of message")
 	}
@@ -109,6 +111,35 @@
 	out.QueueMessage(report.Append, flows.EndpointOf(from))
 }
 
+// handleZones records whether this agent's availability zone is evacuated. A change is reported to all balancers at once, and anything
+// else only to the sender, which has contradicted an earlier report.
+func (n *Node) handleZones(now time.Time, out *netio.Sender, message []byte, from netip.AddrPort) {
+	var zones flows.Zones
+	if !zones.Decode(message) {
+		n.config.Ignored.Record(now, netio.InputMessage, from.String(), "malformed message")
+		return
+	}
+	n.mu.Lock()
+	changed := n.dispatcher.SetZone(zones)
+	report := n.dispatcher.Report(now)
+	n.mu.Unlock()
+	if !changed {
+		out.QueueMessage(report.Append, flows.EndpointOf(from))
+		return
+	}
+	text := "This agent accepts new flows again."
+	if zones.Evacuated {
+		text = "This agent accepts no new flows, its availability zone is evacuated."
+	}
+	n.config.Log.Info(text, logs.Fields{
+		"balancer": from.String(),
+		"flows":    report.Flows,
+		"version":  zones.Version.String(),
+		"zone":     n.config.Zone,
+	})
+	n.requestReport()
+}
+
 func (n *Node) handleForward(now time.Time, out *netio.Sender, message []byte, from netip.AddrPort) {
 	var f flows.Forward
 	if !f.Decode(message) {
--- a/balancer/tuple/configreads.go
+++ b/balancer/tuple/configreads.go
@@ -27,6 +27,7 @@
 	deadline     time.Duration  // time within which a change must be applied
 	lastRead     time.Time      // last time that the configuration is known to have been read from the store
 	random       func() float64 // uniform in [0, 1)
+	retryAt      time.Time      // end of the pause after a failed read
 	reader       netip.AddrPort // balancer that last sent a notice of a read; zero when there was none
 	self         netip.AddrPort
 	takeover     time.Duration // time after which this balancer takes over, drawn anew after each read
@@ -59,13 +60,16 @@
 // recordFailure records that the store could not be read.
 func (r *configReads) recordFailure(now time.Time) { r.unreadableAt = now }
 
+// pauseUntil delays the next read of this balancer.
+func (r *configReads) pauseUntil(end time.Time) { r.retryAt = end }
+
 // due reports whether this balancer has to read the configuration.
 func (r *configReads) due(now time.Time) bool {
 	wait := time.Duration(configCheckShare * float64(r.deadline))
 	if r.reader != r.self {
 		wait += r.takeover
 	}
-	return now.Sub(r.lastRead) > wait
+	return now.Sub(r.lastRead) > wait && !now.Before(r.retryAt)
 }
 
 // forgetReader records that a balancer does not answer, so that nobody waits for it until the next notice.
--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -43,10 +43,11 @@
 			if n.version() == 0 {
 				n.requestDigests(n.nextDigestPeers())
 			}
+			n.repeatZones()
 		case now := <-isolationChecks:
 			n.checkIsolation(now)
 		case <-digests:
-			n.sendDigests(n.nextDigestPeers(), false)
+			n.sendDigests(n.nextDigestPeers())
 		case <-n.ctx.Done():
 			return
 		}
@@ -118,50 +119,69 @@
 	}
 }
 
-// recordConfigRead records that a watch has returned, which shows the latest configuration.
+// recordConfigRead records that a watch has returned, which shows the latest configuration and that the store answers.
 func (n *Node) recordConfigRead() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.configReads.recordRead(time.Now())
+	n.zoneSync.retrySoon()
 }
 
-// runConfigCheck reads the configuration when no balancer has done so for a while, since a pending watch may miss
-// changes when the store drops its history or the connection stalls.
+// runConfigCheck reads the configuration and lists the evacuated availability zones when no balancer has done so for a while. A pending
+// watch of the configuration may miss changes when the store drops its history or the connection stalls.
 func (n *Node) runConfigCheck() {
 	ticks := n.clock.Subscribe(configCheckTick)
 	for {
 		select {
 		case now := <-ticks:
 			n.pollEra(now)
-			if n.configCheckDue(now) {
-				n.checkConfig()
-			}
+			n.checkStore(now)
 		case <-n.ctx.Done():
 			return
 		}
 	}
 }
 
-func (n *Node) configCheckDue(now time.Time) bool {
+// checkStore makes the reads that are due, at the same time, and sends all balancers digests that state which reads have succeeded.
+func (n *Node) checkStore(now time.Time) {
+	configDue, zonesDue := n.readsDue(now)
+	zonesListed := make(chan bool, 1)
+	if zonesDue {
+		go n.runZoneList(zonesListed)
+	} else {
+		zonesListed <- false
+	}
+	configRead := configDue && n.readConfig()
+	if zonesRead := <-zonesListed; configRead || zonesRead {
+		n.sendReadNotice(configRead, zonesRead)
+	}
+}
+
+// readsDue reports whether the configuration has to be read and whether the evacuated availability zones have to be listed, which is
+// done with each read of the configuration, so that one notice states both.
+func (n *Node) readsDue(now time.Time) (config, zones bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.director.Version() > 0 && n.configReads.due(now)
+	config = n.director.Version() > 0 && n.configReads.due(now)
+	return config, n.zoneSync.due(now, config)
 }
 
-// checkConfig reads and applies the configuration and sends all balancers digests that state that it was read.
-func (n *Node) checkConfig() {
+// readConfig reads and applies the configuration and reports whether it could be read.
+func (n *Node) readConfig() bool {
 	requestedAt := time.Now()
 	object, err := n.config.Store.Get(n.ctx, n.config.ConfigKey)
 	if err != nil {
 		n.handleStoreError("The configuration can't be read.", err)
-		netio.Sleep(n.ctx, netio.Jitter(netio.MaxRetryPause))
-		return
+		n.mu.Lock()
+		n.configReads.pauseUntil(time.Now().Add(netio.Jitter(netio.MaxRetryPause)))
+		n.mu.Unlock()
+		return false
 	}
 	n.applyConfig(object.Value, "check")
 	n.mu.Lock()
 	n.configReads.recordNotice(requestedAt, n.config.Address)
 	n.mu.Unlock()
-	n.sendDigests(n.allPeers(), true)
+	return true
 }
 
 // applyConfig applies a configuration that is newer than the current one and sends digests to some other balancers, which
@@ -182,7 +202,7 @@
 		return
 	}
 	n.config.Log.Info("Configuration applied.", logs.Fields{"routes": len(routes.ByAddress), "source": source, "version": routes.Version})
-	n.sendDigests(n.nextDigestPeers(), false)
+	n.sendDigests(n.nextDigestPeers())
 }
 
 // handleStoreError logs that the store could not be used, and records when.
--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -47,6 +47,9 @@
 	Store          store.Store
 	Trust          *trust.Allowlist
 	Zone           string
+	ZoneDeadline   time.Duration                      // time within which an evacuation must be in force; zero if none is ever read
+	ZoneName       func(store.Object) (string, error) // returns the availability zone that an object requests to evacuate
+	ZonesPrefix    string                             // prefix of the store keys of these objects
 }
 
 // Node is one balancer process.
@@ -65,7 +68,7 @@
 	memberChecks chan struct{} // wakes runMembers to confirm the members
 	memberReads  *sharedRead[member.List]
 	meter        *meter
-	mu           sync.Mutex   // guards configReads, director, isolation, meter.notForwarded, newAgents, peers, pulling and rawConfig
+	mu           sync.Mutex   // guards configReads, director, isolation, meter.notForwarded, newAgents, peers, pulling, rawConfig and the fields from zoneNames on
 	markedEra    atomic.Int64 // latest era in which this balancer has marked the list of members as complete, or unmarked
 	newAgents    newAgents
 	peers        *peerSet
@@ -75,6 +78,9 @@
 	shuttingDown atomic.Bool
 	socket       *udpio.Socket
 	stop         context.CancelFunc
+	zoneNames    map[uint64]string // names of availability zones by hash, as far as this balancer has read them
+	zoneSync     zoneSync
+	zonesOmitted int // evacuated availability zones that the last list had beyond the limit
 }
 
 // New opens the sockets of a balancer, or returns an Unavailable fault when an address is taken.
@@ -103,7 +109,9 @@
 		meter:        newMeter(config.Stats),
 		peers:        newPeerSet(config.Address, config.Seeds),
 		stop:         stop,
+		zoneNames:    map[uint64]string{uint64(flows.HashName(config.Zone)): config.Zone},
 	}
+	n.zoneSync = newZoneSync(config.Address, config.ZoneDeadline, config.ConfigDeadline, rand.Float64, &n.director.Agents.Zones)
 	n.guard = member.NewEntryGuard(member.EntryGuardConfig{
 		Directory: n.directory,
 		Log:       config.Log,
@@ -123,7 +131,7 @@
 		n.peers.add(seed)
 	}
 	n.mu.Unlock()
-	n.sendDigests(seeds, false)
+	n.sendDigests(seeds)
 }
 
 func (n *Node) open() error {
--- a/balancer/tuple/observe.go
+++ b/balancer/tuple/observe.go
@@ -18,6 +18,8 @@
 	notForwardedLogsPerSecond = 50
 	// agentLogsPerSecond limits the log lines about changed agents.
 	agentLogsPerSecond = 50
+	// zoneLogsPerSecond limits the log lines about lists of evacuated availability zones that have failed.
+	zoneLogsPerSecond = 1
 )
 
 // newAgents counts the agents that a balancer has met since the last summary. A balancer that starts meets all of them,
@@ -59,6 +61,7 @@
 	relayed          *metrics.Counter // packets that other balancers could not deliver
 	resetLimiter     *logs.Limiter
 	server           *stats.Server
+	zoneLimiter      *logs.Limiter
 }
 
 func newMeter(server *stats.Server) *meter {
@@ -72,6 +75,7 @@
 		placementLimiter: logs.NewLimiter(placementLogsPerSecond),
 		resetLimiter:     logs.NewLimiter(notForwardedLogsPerSecond),
 		server:           server,
+		zoneLimiter:      logs.NewLimiter(zoneLogsPerSecond),
 	}
 }
 
@@ -90,6 +94,13 @@
 	gauge("cyclamendock_balancer_config_age_seconds", func() float64 { return time.Since(n.configReads.lastRead).Seconds() })
 	gauge("cyclamendock_balancer_flows_waiting", func() float64 { return float64(n.director.Waiting()) })
 	gauge("cyclamendock_balancer_peers", func() float64 { return float64(len(n.peers.list)) })
+	gauge("cyclamendock_balancer_zones_emptied", func() float64 { return float64(n.director.Agents.Zones.State().Len()) })
+	gauge("cyclamendock_balancer_zones_known", func() float64 {
+		if n.director.Agents.Zones.State().Known {
+			return 1
+		}
+		return 0
+	})
 }
 
 // logPlacement logs a rate-limited sample of placed flows with the inputs of the decision.
@@ -165,6 +176,7 @@
 		"awaitedOne": awaited,
 		"caller":     verdict.Flow.Caller.String(),
 		"config":     version,
+		"evacuated":  availability.Evacuated,
 		"ready":      availability.Ready,
 		"reason":     string(verdict.Reason),
 		"request":    verdict.RequestID,
--- a/balancer/tuple/packets.go
+++ b/balancer/tuple/packets.go
@@ -137,7 +137,11 @@
 	if changed && !met {
 		n.newAgents.record(report)
 	}
+	notice, due := n.director.Agents.ZonesNotice(now, sender)
 	n.mu.Unlock()
+	if due {
+		n.socket.Send(notice.Zones.Append(nil), sender.AddrPort())
+	}
 	if mustJoin {
 		n.socket.Send(flows.Join{}.Append(nil), sender.AddrPort())
 	}
--- a/balancer/tuple/peers.go
+++ b/balancer/tuple/peers.go
@@ -84,5 +84,6 @@
 		IsReply:     isReply,
 		MembersHash: n.director.Agents.Hash(),
 		Version:     n.director.Version(),
+		Zones:       n.director.Agents.Zones.State(),
 	}
 }
--- a/balancer/tuple/restore.go
+++ b/balancer/tuple/restore.go
@@ -13,7 +13,7 @@
 // pollEra finds out whether the store has lost its latest changes, and tells some other balancers, which do the same.
 func (n *Node) pollEra(now time.Time) {
 	if n.guard.Poll(now) {
-		n.sendDigests(n.nextDigestPeers(), false)
+		n.sendDigests(n.nextDigestPeers())
 	}
 }
 
--- a/balancer/tuple/status.go
+++ b/balancer/tuple/status.go
@@ -16,28 +16,42 @@
 
 // AgentStatus is a balancer's view of one agent.
 type AgentStatus struct {
-	Address string
-	Busy    int
-	Flows   int
-	HeardMS int64 // milliseconds since the last report; -1 when the agent has never reported
-	Slots   int
-	State   string
-	Suspect bool
-	Warming bool
-	WorkMS  int64 // mean service time of a request in milliseconds
+	Address       string
+	Busy          int
+	Flows         int
+	HeardMS       int64 // milliseconds since the last report; -1 when the agent has never reported
+	Slots         int
+	State         string
+	Suspect       bool
+	Warming       bool
+	ZoneEvacuated bool  // the agent, or this balancer, knows that its availability zone is evacuated
+	WorkMS        int64 // mean service time of a request in milliseconds
 }
 
 // Status is a balancer's view of its configuration, agents and peers.
 type Status struct {
-	Agents      []AgentStatus
-	Balancers   []string
-	ConfigAgeMS int64 // milliseconds since any balancer read the configuration from the store
-	EraAgeMS    int64 // milliseconds since this balancer has known StoreEra
-	Hints       int   // flows whose agent is remembered
-	Ready       bool
-	StoreEra    uint64 // rises when the store loses its latest changes
-	Version     uint64 // version of the configuration
-	Waiting     int    // flows that wait for an agent
+	Agents       []AgentStatus
+	Balancers    []string
+	ConfigAgeMS  int64 // milliseconds since any balancer read the configuration from the store
+	EraAgeMS     int64 // milliseconds since this balancer has known StoreEra
+	Hints        int   // flows whose agent is remembered
+	Ready        bool
+	StoreEra     uint64       // rises when the store loses its latest changes
+	Version      uint64       // version of the configuration
+	Waiting      int          // flows that wait for an agent
+	Zones        []ZoneStatus // evacuated availability zones
+	ZonesAgeMS   int64        // milliseconds since any balancer listed the evacuated availability zones; -1 when none has or they are never listed
+	ZonesEnabled bool         // this balancer takes part in listing them
+	ZonesKnown   bool
+}
+
+// ZoneStatus is a balancer's view of one evacuated availability zone.
+type ZoneStatus struct {
+	Agents  int    // agents in the availability zone that have reported
+	Hash    string // hash of the name
+	Name    string // empty when the balancer knows only the hash
+	SinceMS int64  // milliseconds since this balancer learnt of the evacuation
+	Version string // version of the store with which it learnt of it
 }
 
 // TraceRequest identifies a flow by the caller's and the route's address and port.
@@ -67,6 +81,7 @@
 	status.Ready = !n.shuttingDown.Load() && n.director.Ready()
 	status.Version = n.director.Version()
 	status.Waiting = n.director.Waiting()
+	n.addZoneStatus(now, status)
 	for _, balancer := range n.peers.list {
 		status.Balancers = append(status.Balancers, balancer.String())
 	}
@@ -76,6 +91,26 @@
 	return nil
 }
 
+// addZoneStatus adds the evacuated availability zones; n.mu must be held.
+func (n *Node) addZoneStatus(now time.Time, status *Status) {
+	tracker := &n.director.Agents.Zones
+	status.ZonesEnabled = n.zoneSync.enabled()
+	status.ZonesKnown = tracker.State().Known
+	status.ZonesAgeMS = -1
+	if !n.zoneSync.reads.lastRead.IsZero() {
+		status.ZonesAgeMS = now.Sub(n.zoneSync.reads.lastRead).Milliseconds()
+	}
+	for _, evacuation := range tracker.Evacuations() {
+		status.Zones = append(status.Zones, ZoneStatus{
+			Agents:  n.director.Agents.CountIn(flows.NameHash(evacuation.Hash)),
+			Hash:    formatZoneHash(evacuation.Hash),
+			Name:    n.zoneNames[evacuation.Hash],
+			SinceMS: now.Sub(evacuation.Since).Milliseconds(),
+			Version: evacuation.Version.String(),
+		})
+	}
+}
+
 func (n *Node) agentStatus(now time.Time, address flows.Endpoint) AgentStatus {
 	report, age := n.director.Agents.LastReport(now, address)
 	sinceReport := age.Milliseconds()
@@ -83,15 +118,16 @@
 		sinceReport = -1
 	}
 	return AgentStatus{
-		Address: address.String(),
-		Busy:    report.Busy,
-		Flows:   report.Flows,
-		HeardMS: sinceReport,
-		Slots:   report.Slots,
-		State:   report.State.String(),
-		Suspect: n.director.Agents.Suspect(now, address),
-		Warming: report.Warming,
-		WorkMS:  report.MeanServiceTime.Milliseconds(),
+		Address:       address.String(),
+		Busy:          report.Busy,
+		Flows:         report.Flows,
+		HeardMS:       sinceReport,
+		Slots:         report.Slots,
+		State:         report.State.String(),
+		Suspect:       n.director.Agents.Suspect(now, address),
+		Warming:       report.Warming,
+		ZoneEvacuated: n.director.Agents.Evacuated(address),
+		WorkMS:        report.MeanServiceTime.Milliseconds(),
 	}
 }
 
--- a/balancer/tuple/sync.go
+++ b/balancer/tuple/sync.go
@@ -64,12 +64,18 @@
 	if theirs.FromStore && theirs.Version <= ours.Version {
 		n.configReads.recordNotice(now, from)
 	}
+	zonesChange := n.zoneSync.recordDigest(now, theirs, from)
+	zonesAhead := n.zoneSync.ahead(theirs)
 	n.mu.Unlock()
+	if zonesChange.Any() {
+		n.sendDigests(n.nextDigestPeers())
+		n.logZones(zonesChange, theirs.Zones, "balancer")
+	}
 	behind := theirs.Version > ours.Version || theirs.MembersHash != ours.MembersHash
 	if behind {
 		go n.runPull(from)
 	}
-	ahead := ours.Version > theirs.Version || theirs.MembersHash != ours.MembersHash
+	ahead := ours.Version > theirs.Version || theirs.MembersHash != ours.MembersHash || zonesAhead
 	if (ahead || theirs.ReplyRequired) && !theirs.IsReply {
 		n.socket.Send(ours.Append(nil), from)
 	}
@@ -129,28 +135,36 @@
 	return addresses
 }
 
-// sendDigests sends this balancer's digest; fromStore states that it has just read the configuration from the store.
-func (n *Node) sendDigests(to []netip.AddrPort, fromStore bool) {
-	n.mu.Lock()
-	digest := n.digest(false)
-	n.mu.Unlock()
-	digest.FromStore = fromStore
+// sendDigests sends this balancer's digest.
+func (n *Node) sendDigests(to []netip.AddrPort) { n.sendDigest(to, n.currentDigest()) }
+
+// sendReadNotice sends all balancers digests that state what this balancer has just read from the store.
+func (n *Node) sendReadNotice(config, zones bool) {
+	digest := n.currentDigest()
+	digest.FromStore, digest.ZonesFromStore = config, zones
+	n.sendDigest(n.allPeers(), digest)
+}
+
+func (n *Node) sendDigest(to []netip.AddrPort, digest flows.Digest) {
 	message := digest.Append(nil)
 	for _, balancer := range to {
 		n.socket.Send(message, balancer)
 	}
 }
 
+// currentDigest returns a digest that is no reply.
+func (n *Node) currentDigest() flows.Digest {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.digest(false)
+}
+
 // requestDigests sends digests that require a reply, to find out soon which balancers are alive and whether their state
 // differs.
 func (n *Node) requestDigests(balancers []netip.AddrPort) {
-	n.mu.Lock()
-	digest := n.digest(false)
-	n.mu.Unlock()
+	digest := n.currentDigest()
 	digest.ReplyRequired = true
-	for _, balancer := range balancers {
-		n.socket.Send(digest.Append(nil), balancer)
-	}
+	n.sendDigest(balancers, digest)
 }
 
 // nextDigestPeers returns the balancers that receive the next digests.
--- a/lib/flaky/store.go
+++ b/lib/flaky/store.go
@@ -90,6 +90,14 @@
 	return s.inner.List(ctx, prefix)
 }
 
+// ListAt returns the same objects as List and the store's version, or an Unavailable fault.
+func (s *Store) ListAt(ctx context.Context, prefix string) ([]store.Object, store.Version, error) {
+	if injected := s.chooseFault("list"); injected == RequestLost || injected == ResponseLost {
+		return nil, store.Version{}, unavailable()
+	}
+	return s.inner.ListAt(ctx, prefix)
+}
+
 // Put writes an object, or returns an Unavailable fault; if the response is lost, the object is still written.
 func (s *Store) Put(ctx context.Context, key string, value []byte, expected store.Version) (store.Object, error) {
 	injected := s.chooseFault("put")
--- a/lib/flows/accept.go
+++ b/lib/flows/accept.go
@@ -14,6 +14,9 @@
 	if _, repeated := d.flows.Get(now, flow); repeated {
 		return d.deliver(f, p)
 	}
+	if d.zone.Evacuated() {
+		return d.forwardOrReturn(f, p)
+	}
 	if d.queue.Len() > 0 || !d.serverLoad().meetsTarget(f.LatencyTarget) {
 		return d.handleOverload(now, f, p)
 	}
--- a/lib/flows/agents.go
+++ b/lib/flows/agents.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/zones"
 )
 
 const (
@@ -32,10 +34,13 @@
 	pendingSince  time.Time // when the pending report was first expected
 	report        Report    // last report
 	reportPending bool      // it was added or sent a packet or a hello, and has not reported since
+	zonesSentAt   time.Time // when it was last sent a Zones message; zero when it was sent none
 }
 
 // Agents tracks the reports and the liveness of all agents for one balancer.
 type Agents struct {
+	Zones zones.Tracker // evacuated availability zones
+
 	byAddress  map[Endpoint]*agentState
 	byService  map[NameHash][]*agentState  // only agents that have reported and were not made dormant since
 	hash       uint64                      // of the addresses of all agents that are not dormant, in any order
--- a/lib/flows/director.go
+++ b/lib/flows/director.go
@@ -31,6 +31,8 @@
 	ReasonRouteRemoved Reason = "routeRemoved"
 	// ReasonSaturated means that every agent is too busy to serve the flow in time.
 	ReasonSaturated Reason = "saturated"
+	// ReasonZoneEmptied means that all agents that could serve the flow are in evacuated availability zones.
+	ReasonZoneEmptied Reason = "zoneEmptied"
 )
 
 // Action tells a balancer what to do with a packet.
--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cyclamendock/cyclamendock/lib/zones"
 )
 
 const (
@@ -105,6 +107,7 @@
 	queue           *WaitQueue
 	restored        restoredFlows // see Restore
 	subscribers     *Subscribers
+	zone            zones.Own
 }
 
 // NewDispatcher returns a dispatcher without flows.
@@ -266,12 +269,23 @@
 		State:           d.config.Server.State(now),
 		Warming:         d.config.Server.Warming(now),
 		Zone:            d.config.Zone,
+		ZoneEvacuated:   d.zone.Evacuated(),
 	}
 }
 
 // SetListing sets what the agent's reports say about its entry in the list of members.
 func (d *Dispatcher) SetListing(listing Listing) { d.listing = listing }
 
+// SetZone records what a balancer states about this agent's availability zone, and reports whether that has changed whether the agent
+// accepts new flows.
+func (d *Dispatcher) SetZone(message Zones) bool {
+	before := d.zone.Evacuated()
+	return d.zone.Apply(message.Version, message.Evacuated) && before != message.Evacuated
+}
+
+// ZoneEvacuated reports whether this agent accepts no new flows, since its availability zone is evacuated.
+func (d *Dispatcher) ZoneEvacuated() bool { return d.zone.Evacuated() }
+
 // Busy returns the number of requests in progress.
 func (d *Dispatcher) Busy() int { return d.busy }
 
--- a/lib/flows/message.go
+++ b/lib/flows/message.go
@@ -24,7 +24,7 @@
 	KindJoin
 	// KindDigest tells a balancer which configuration and members another balancer has.
 	KindDigest
-	// KindZones tells an agent whether its availability zone is emptied.
+	// KindZones tells an agent whether its availability zone is evacuated.
 	KindZones
 	// KindLimits tells an agent the limits of its service.
 	KindLimits
--- a/lib/flows/opening.go
+++ b/lib/flows/opening.go
@@ -39,7 +39,7 @@
 	}
 	if service := route.ServiceFor(flow); !unavailable[service] {
 		verdict := d.place(now, route, opening.packet, nil)
-		if verdict.Action == ActForward {
+		if verdict.Action != ActDrop {
 			return verdict, true
 		}
 		unavailable[service] = true
@@ -82,23 +82,29 @@
 	}
 }
 
-// openFlow places or queues a new flow; a repeated opening goes to the same agent as the first while it is responsive.
+// openFlow places, queues or resets a new flow; a repeated opening goes to the same agent as the first while it is responsive.
 func (d *Director) openFlow(now time.Time, route Route, p Packet, datagram []byte) Verdict {
 	flow := p.CallerFlow()
 	if _, queued := d.queuedOpenings[flow]; queued {
 		return Verdict{Flow: flow, Reason: ReasonQueued}
 	}
-	if owner, ok := d.lookupHint(now, flow); ok && !d.Agents.Suspect(now, owner) && d.Agents.State(owner) == StateReady {
+	var verdict Verdict
+	switch owner, ok := d.lookupHint(now, flow); {
+	case !ok || d.Agents.Suspect(now, owner) || d.Agents.State(owner) != StateReady:
+		verdict = d.place(now, route, p, nil)
+	case d.Agents.Evacuated(owner):
+		verdict = d.repeatToEvacuated(now, route, p, owner)
+	default:
 		return d.forwardVerdict(now, route, p, route.ServiceFor(flow), Chain{owner})
 	}
-	verdict := d.place(now, route, p, nil)
-	if verdict.Action == ActForward {
+	if verdict.Action != ActDrop {
 		return verdict
 	}
 	return d.queueOpening(now, p, datagram)
 }
 
-// place forwards an opening along the best candidates, without those in skip.
+// place forwards an opening along the best candidates, without those in skip. It resets the flow when all agents that could serve it
+// are in evacuated availability zones, and returns ActDrop when there is no candidate for another reason.
 func (d *Director) place(now time.Time, route Route, p Packet, skip []Endpoint) Verdict {
 	flow := p.CallerFlow()
 	service := route.ServiceFor(flow)
@@ -107,6 +113,9 @@
 		d.Agents.sortByCost(candidates, d.config.Zone)
 	}
 	if len(candidates) == 0 {
+		if d.Agents.allEvacuated(now, service) {
+			return resetVerdict(p, ReasonZoneEmptied)
+		}
 		return Verdict{Flow: flow, Reason: ReasonNoAgent}
 	}
 	d.hints.Put(now, flow, candidates[0])
@@ -120,6 +129,8 @@
 	}
 	verdict := d.place(now, route, p, f.RejectedBy)
 	switch {
+	case verdict.Action == ActReset:
+		return verdict
 	case verdict.Action == ActForward:
 		verdict.Forward.RejectedBy = f.RejectedBy
 		verdict.Forward.Overloaded = f.Overloaded
--- a/lib/flows/place.go
+++ b/lib/flows/place.go
@@ -34,7 +34,7 @@
 }
 
 // placementFilter returns the condition on which an agent of a service is given new flows: it is eligible and on the list
-// of members, by which other balancers find its flows. An agent that has restarted and can't read the list is used while
+// of members, by which other balancers find its flows, and is not in an evacuated availability zone. An agent that has restarted and can't read the list is used while
 // the service has no listed one that may be alive, as after a power loss during an outage of the store.
 func (a *Agents) placementFilter(now time.Time, service NameHash) func(*agentState) bool {
 	needed := ListingUnknown
@@ -43,14 +43,17 @@
 			needed = ListingConfirmed
 		}
 	}
-	return func(agent *agentState) bool { return agent.listing == needed && agent.eligible(now) }
+	return func(agent *agentState) bool {
+		return agent.listing == needed && agent.eligible(now) && !a.evacuated(agent)
+	}
 }
 
 // Availability tells how many agents of a service a balancer knows, and what it can use them for.
 type Availability struct {
-	Known  int
-	Ready  int // can be given new flows
-	Silent int // have an overdue report
+	Known     int
+	Evacuated int // in evacuated availability zones
+	Ready     int // can be given new flows
+	Silent    int // have an overdue report
 }
 
 // availability returns the availability of a service.
@@ -59,6 +62,9 @@
 	var result Availability
 	for _, agent := range a.byService[service] {
 		result.Known++
+		if a.evacuated(agent) {
+			result.Evacuated++
+		}
 		switch {
 		case mayPlace(agent):
 			result.Ready++
--- a/lib/flows/queueing.go
+++ b/lib/flows/queueing.go
@@ -65,8 +65,8 @@
 	return p.Length > 0 && state.hasNewData(p)
 }
 
-// Release dequeues and returns the entries that the backend server has capacity for, the expired ones, and all of them
-// once it is not ready.
+// Release dequeues and returns the entries that the backend server has capacity for, the expired ones, all new flows
+// once the availability zone is evacuated, and all entries once it is not ready.
 func (d *Dispatcher) Release(now time.Time) []AgentVerdict {
 	if d.config.Server.State(now) != StateReady {
 		return d.drainQueue(now)
@@ -74,6 +74,10 @@
 	d.expireAdmissions(now)
 	d.overload.update(now, d.queue.hasMissed(now))
 	verdicts := d.returnOpenings(d.queue.expire(now), true)
+	if d.zone.Evacuated() {
+		openings := d.queue.removeIf(func(entry *queueEntry) bool { return !entry.onOpenFlow })
+		verdicts = append(verdicts, d.returnOpenings(openings, false)...)
+	}
 	for {
 		entry := d.queue.peek(now.Add(d.serverLoad().likelyLatency()))
 		if entry == nil || !d.serverLoad().meetsTarget(entry.forward.LatencyTarget) {
--- a/lib/flows/report.go
+++ b/lib/flows/report.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	joinMissing   = 1
-	reportWarming = 1
+	joinMissing         = 1
+	reportWarming       = 1
+	reportZoneEvacuated = 2
 )
 
 // State is the state of a backend server as seen by its agent.
@@ -71,6 +72,7 @@
 	State           State
 	Warming         bool // the backend server has just started and is still slow
 	Zone            NameHash
+	ZoneEvacuated   bool // the agent accepts no new flows, since its availability zone is evacuated
 }
 
 // Hello asks an agent for a report.
@@ -95,7 +97,7 @@
 
 // Append appends the encoded message.
 func (p Report) Append(dst []byte) []byte {
-	dst = append(dst, byte(KindReport), byte(p.State), flagBit(p.Warming, reportWarming), byte(p.Listing))
+	dst = append(dst, byte(KindReport), byte(p.State), flagBit(p.Warming, reportWarming)|flagBit(p.ZoneEvacuated, reportZoneEvacuated), byte(p.Listing))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(p.Service))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(p.Zone))
 	dst = binary.BigEndian.AppendUint16(dst, clampUint16(p.Busy))
@@ -114,7 +116,9 @@
 	r := reader{rest: message}
 	r.byte()
 	p.State = State(r.byte())
-	p.Warming = r.byte() == reportWarming
+	flags := r.byte()
+	p.Warming = flags&reportWarming != 0
+	p.ZoneEvacuated = flags&reportZoneEvacuated != 0
 	p.Listing = Listing(r.byte())
 	p.Service = NameHash(r.uint64())
 	p.Zone = NameHash(r.uint64())
--- a/lib/store/client.go
+++ b/lib/store/client.go
@@ -17,7 +17,7 @@
 const (
 	// MaxValueSize is the maximum size of a value in bytes.
 	MaxValueSize = 1 << 20
-	// VersionHeader is the response header with the version of an object.
+	// VersionHeader is the response header with the version of an object, or of the store in the response to a list.
 	VersionHeader = "Object-Version"
 	// EraHeader is the header of all responses with the store's era.
 	EraHeader = "Store-Era"
@@ -95,22 +95,41 @@
 
 // List returns the objects whose keys have the given prefix, or an Unavailable fault.
 func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
+	objects, _, err := c.list(ctx, prefix)
+	return objects, err
+}
+
+// ListAt returns the same objects as List and the store's version, or an Unavailable fault.
+func (c *Client) ListAt(ctx context.Context, prefix string) ([]Object, Version, error) {
+	objects, header, err := c.list(ctx, prefix)
+	if err != nil {
+		return nil, Version{}, err
+	}
+	version, err := ParseVersion(header.Get(VersionHeader))
+	if err != nil {
+		return nil, Version{}, unavailable(err)
+	}
+	return objects, version, nil
+}
+
+// list returns the objects whose keys have the given prefix and the header of the response, or an Unavailable fault.
+func (c *Client) list(ctx context.Context, prefix string) ([]Object, http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	query := url.Values{"prefix": {prefix}}
 	response, err := c.send(ctx, http.MethodGet, "/objects", query, nil)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return nil, unavailable(nil)
+		return nil, nil, unavailable(nil)
 	}
 	var objects []Object
 	if err := json.NewDecoder(response.Body).Decode(&objects); err != nil {
-		return nil, unavailable(err)
+		return nil, nil, unavailable(err)
 	}
-	return objects, nil
+	return objects, response.Header, nil
 }
 
 // doObject makes a call that returns an object and translates status codes into faults.
--- a/lib/store/memory.go
+++ b/lib/store/memory.go
@@ -27,10 +27,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	object, ok := m.objects[key]
-	if ok && object.Version != expected {
+	if !ok {
+		return nil
+	}
+	if object.Version != expected {
 		return stale(key)
 	}
 	delete(m.objects, key)
+	m.revision++
 	return nil
 }
 
@@ -79,6 +83,11 @@
 func (m *Memory) List(_ context.Context, prefix string) ([]Object, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.list(prefix), nil
+}
+
+// list returns the objects whose keys have the given prefix, ordered by key; mu must be held.
+func (m *Memory) list(prefix string) []Object {
 	var objects []Object
 	for key, object := range m.objects {
 		if strings.HasPrefix(key, prefix) {
@@ -86,7 +95,14 @@
 		}
 	}
 	slices.SortFunc(objects, func(a, b Object) int { return strings.Compare(a.Key, b.Key) })
-	return objects, nil
+	return objects
+}
+
+// ListAt returns the same objects as List and the store's version.
+func (m *Memory) ListAt(_ context.Context, prefix string) ([]Object, Version, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list(prefix), Version{Era: m.era, Revision: m.revision}, nil
 }
 
 // Put writes an object if its version is the expected one, or returns a Stale fault.
--- a/lib/store/store.go
+++ b/lib/store/store.go
@@ -27,6 +27,9 @@
 	Get(ctx context.Context, key string) (Object, error)
 	// List returns the objects whose keys have the given prefix, or an Unavailable fault.
 	List(ctx context.Context, prefix string) ([]Object, error)
+	// ListAt returns the same objects as List and a version of the whole store: the list shows all changes up to that version, and
+	// possibly later ones. It returns an Unavailable fault when the list may be incomplete.
+	ListAt(ctx context.Context, prefix string) ([]Object, Version, error)
 	// Put writes an object if its version is the expected one, where zero means that the object doesn't exist. It returns
 	// a Stale fault on a different version, and an Unavailable fault when it is unknown whether the write took effect.
 	Put(ctx context.Context, key string, value []byte, expected Version) (Object, error)
--- a/standin/object/platform.go
+++ b/standin/object/platform.go
@@ -110,7 +110,8 @@
 
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
 	p.updateCounts(func(c *RequestCounts) { c.Lists++ })
-	objects, _ := p.memory.List(r.Context(), r.URL.Query().Get("prefix"))
+	objects, version, _ := p.memory.ListAt(r.Context(), r.URL.Query().Get("prefix"))
+	w.Header().Set(store.VersionHeader, version.String())
 	_ = json.NewEncoder(w).Encode(objects)
 }
 
--- a/standin/tuple/cluster.go
+++ b/standin/tuple/cluster.go
@@ -42,12 +42,13 @@
 
 // ClusterConfig configures a Cluster.
 type ClusterConfig struct {
-	Agents      int
-	Balancers   int
-	LostAfter   time.Duration // balancers' setting lostAfter; its default when zero
-	Network     byte          // second byte of the hosts' loopback addresses; clusters that run at once need different ones
-	ProgramPath string        // path of the platform program, which runs balancers and agents
-	WorkDir     string        // folder for settings and logs
+	Agents       int
+	Balancers    int
+	LostAfter    time.Duration // balancers' setting lostAfter; its default when zero
+	Network      byte          // second byte of the hosts' loopback addresses; clusters that run at once need different ones
+	ProgramPath  string        // path of the platform program, which runs balancers and agents
+	WorkDir      string        // folder for settings and logs
+	ZoneDeadline time.Duration // balancers' setting zoneDeadline; absent when zero
 }
 
 // Cluster runs balancers and agents as processes, together with simulated callers, backend servers and object store.
@@ -237,10 +238,14 @@
 
 // balancerSettings returns the settings that balancers have besides those of all processes.
 func (c *Cluster) balancerSettings() map[string]any {
-	if c.config.LostAfter == 0 {
-		return nil
+	settings := map[string]any{}
+	if c.config.LostAfter != 0 {
+		settings["lostAfter"] = c.config.LostAfter.String()
 	}
-	return map[string]any{"lostAfter": c.config.LostAfter.String()}
+	if c.config.ZoneDeadline != 0 {
+		settings["zoneDeadline"] = c.config.ZoneDeadline.String()
+	}
+	return settings
 }
 
 // startProcess writes the settings of a balancer or an agent and starts its process behind a proxy to the store.
--- a/standin/tuple/objectstore.go
+++ b/standin/tuple/objectstore.go
@@ -58,6 +58,7 @@
 	era             uint64  // rises with each restore
 	events          []Event // changes after droppedRevision, in order
 	fault           StoreFault
+	listCounts      map[string]int // list requests by kind
 	mu              sync.Mutex
 	objects         map[string]Object // objects by "kind/name"
 	revision        uint64            // revision of the last change
@@ -65,7 +66,7 @@
 
 // NewObjectStore returns an empty store.
 func NewObjectStore() *ObjectStore {
-	return &ObjectStore{changed: make(chan struct{}), era: 1, objects: map[string]Object{}, revision: 10}
+	return &ObjectStore{changed: make(chan struct{}), era: 1, listCounts: map[string]int{}, objects: map[string]Object{}, revision: 10}
 }
 
 // Set writes an object without a revision check, as the operator does.
@@ -86,6 +87,22 @@
 	o.put(kind, Object{Meta: Meta{Name: name}, Spec: json.RawMessage(spec)})
 }
 
+// Remove deletes an object without a revision check, as the operator does.
+func (o *ObjectStore) Remove(kind, name string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if object, ok := o.objects[kind+"/"+name]; ok {
+		o.remove(kind, object)
+	}
+}
+
+// ListCount returns the number of list requests for a kind of object.
+func (o *ObjectStore) ListCount(kind string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.listCounts[kind]
+}
+
 // Names returns the sorted names of all objects of a kind.
 func (o *ObjectStore) Names(kind string) []string {
 	o.mu.Lock()
--- a/standin/tuple/storehandler.go
+++ b/standin/tuple/storehandler.go
@@ -59,6 +59,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.counts.Lists++
+	o.listCounts[kind]++
 	var items []Object
 	for key, object := range o.objects {
 		if strings.HasPrefix(key, kind+"/") && object.Meta.Name > r.URL.Query().Get("after") {
