--- a/agent/tuple/observe.go
+++ b/agent/tuple/observe.go
@@ -63,6 +63,12 @@
 	gauge("cyclamendock_agent_pace", n.dispatcher.Pace)
 	gauge("cyclamendock_agent_room", func() int { return limitGauge(n.dispatcher.Room(time.Now())) })
 	gauge("cyclamendock_agent_flows_limit", func() int { return limitGauge(n.dispatcher.FlowLimit(time.Now())) })
+	gauge("cyclamendock_agent_zone_emptied", func() int {
+		if n.dispatcher.ZoneEvacuated() {
+			return 1
+		}
+		return 0
+	})
 	gauge("cyclamendock_agent_backend_ready", func() int {
 		if n.server.State(time.Now()) == flows.StateReady {
 			return 1
--- a/lib/flows/accept.go
+++ b/lib/flows/accept.go
@@ -21,6 +21,9 @@
 	if refusal := d.refuse(now, f); refusal != pace.RefusedNone {
 		return d.rejectOpening(now, f, p, refusal)
 	}
+	if d.zone.Evacuated() {
+		return d.forwardOrReturn(f, p)
+	}
 	if d.queue.Len() > 0 || !d.serverLoad().meetsTarget(f.LatencyTarget) {
 		return d.handleOverload(now, f, p)
 	}
--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -6,6 +6,7 @@
 
 	"github.com/cyclamendock/cyclamendock/lib/fifo"
 	"github.com/cyclamendock/cyclamendock/lib/pace"
+	"github.com/cyclamendock/cyclamendock/lib/zones"
 )
 
 const (
@@ -114,6 +115,7 @@
 	restoredUnseen  int                  // restored flows that are not in flows, as of the last Sweep
 	service         *fifo.Queue[Flow]    // requests that the backend server has not answered
 	subscribers     *Subscribers
+	zone            zones.Own
 }
 
 // NewDispatcher returns a dispatcher without flows.
@@ -291,12 +293,23 @@
 		State:           d.config.Server.State(now),
 		Warming:         d.config.Server.Warming(now),
 		Zone:            d.config.Zone,
+		ZoneEvacuated:   d.zone.Evacuated(),
 	}
 }
 
 // SetListing sets what the agent's reports say about its entry in the list of members.
 func (d *Dispatcher) SetListing(listing Listing) { d.listing = listing }
 
+// SetZone records what a balancer states about this agent's availability zone, and reports whether that has changed whether the agent
+// accepts new flows.
+func (d *Dispatcher) SetZone(message Zones) bool {
+	before := d.zone.Evacuated()
+	return d.zone.Apply(message.Version, message.Evacuated) && before != message.Evacuated
+}
+
+// ZoneEvacuated reports whether this agent accepts no new flows, since its availability zone is evacuated.
+func (d *Dispatcher) ZoneEvacuated() bool { return d.zone.Evacuated() }
+
 // Busy returns the number of requests in progress.
 func (d *Dispatcher) Busy() int { return d.busy }
 
--- a/lib/flows/queueing.go
+++ b/lib/flows/queueing.go
@@ -67,8 +67,8 @@
 	return p.Length > 0 && state.hasNewData(p)
 }
 
-// Release dequeues and returns the entries that the backend server has capacity for, the expired ones, and all of them
-// once it is not ready.
+// Release dequeues and returns the entries that the backend server has capacity for, the expired ones, all new flows
+// once the availability zone is evacuated, and all entries once it is not ready.
 func (d *Dispatcher) Release(now time.Time) []AgentVerdict {
 	d.observeServer(now)
 	if d.config.Server.State(now) != StateReady {
@@ -77,6 +77,10 @@
 	d.expireAdmissions(now)
 	d.overload.update(now, d.queue.hasMissed(now))
 	verdicts := d.returnOpenings(slices.Concat(d.queue.expire(now), d.coldQueue.expire(now)), true)
+	if d.zone.Evacuated() {
+		openings := slices.Concat(d.queue.removeIf(func(entry *queueEntry) bool { return !entry.onOpenFlow }), d.coldQueue.removeIf(func(*queueEntry) bool { return true }))
+		verdicts = append(verdicts, d.returnOpenings(openings, false)...)
+	}
 	for {
 		entry := d.queue.peek(now.Add(d.serverLoad().likelyLatency()))
 		if entry == nil || !d.serverLoad().meetsTarget(entry.forward.LatencyTarget) {
--- a/lib/flows/report.go
+++ b/lib/flows/report.go
@@ -7,10 +7,11 @@
 )
 
 const (
-	joinMissing   = 1
-	reportWarming = 1
-	reportRoom    = 4
-	reportLimits  = 8
+	joinMissing         = 1
+	reportWarming       = 1
+	reportZoneEvacuated = 2
+	reportRoom          = 4
+	reportLimits        = 8
 	// maxStatedRoom is the largest room that reports state: a larger one is no limit for a balancer before the next report.
 	maxStatedRoom = 255
 )
@@ -78,6 +79,7 @@
 	State           State
 	Warming         bool // the backend server has just started and is still slow
 	Zone            NameHash
+	ZoneEvacuated   bool // the agent accepts no new flows, since its availability zone is evacuated
 }
 
 // Hello asks an agent for a report.
@@ -102,7 +104,10 @@
 
 // Append appends the encoded message.
 func (p Report) Append(dst []byte) []byte {
-	flags := flagBit(p.Warming, reportWarming) | flagBit(p.RoomLimited, reportRoom) | flagBit(p.LimitsKnown, reportLimits)
+	flags := flagBit(p.Warming, reportWarming) |
+		flagBit(p.ZoneEvacuated, reportZoneEvacuated) |
+		flagBit(p.RoomLimited, reportRoom) |
+		flagBit(p.LimitsKnown, reportLimits)
 	dst = append(dst, byte(KindReport), byte(p.State), flags, byte(p.Listing))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(p.Service))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(p.Zone))
@@ -129,6 +134,7 @@
 	p.Warming = flags&reportWarming != 0
 	p.RoomLimited = flags&reportRoom != 0
 	p.LimitsKnown = flags&reportLimits != 0
+	p.ZoneEvacuated = flags&reportZoneEvacuated != 0
 	p.Listing = Listing(r.byte())
 	p.Service = NameHash(r.uint64())
 	p.Zone = NameHash(r.uint64())
--- a/standin/tuple/cluster.go
+++ b/standin/tuple/cluster.go
@@ -42,13 +42,14 @@
 
 // ClusterConfig configures a Cluster.
 type ClusterConfig struct {
-	Agents      int
-	Balancers   int
-	Cuts        bool          // Cut is used; ProgramPath is then the platform program with the build tag cuts
-	LostAfter   time.Duration // balancers' setting lostAfter; its default when zero
-	Network     byte          // second byte of the hosts' loopback addresses; clusters that run at once need different ones
-	ProgramPath string        // path of the platform program, which runs balancers and agents
-	WorkDir     string        // folder for settings and logs
+	Agents       int
+	Balancers    int
+	Cuts         bool          // Cut is used; ProgramPath is then the platform program with the build tag cuts
+	LostAfter    time.Duration // balancers' setting lostAfter; its default when zero
+	Network      byte          // second byte of the hosts' loopback addresses; clusters that run at once need different ones
+	ProgramPath  string        // path of the platform program, which runs balancers and agents
+	WorkDir      string        // folder for settings and logs
+	ZoneDeadline time.Duration // balancers' setting zoneDeadline; absent when zero
 }
 
 // Cluster runs balancers and agents as processes, together with simulated callers, backend servers and object store.
@@ -237,9 +238,12 @@
 }
 
 func (c *Cluster) startBalancer(i int) error {
-	var settings map[string]any
+	settings := map[string]any{}
 	if c.config.LostAfter != 0 {
-		settings = map[string]any{"lostAfter": c.config.LostAfter.String()}
+		settings["lostAfter"] = c.config.LostAfter.String()
+	}
+	if c.config.ZoneDeadline != 0 {
+		settings["zoneDeadline"] = c.config.ZoneDeadline.String()
 	}
 	return c.startProcess("balancer", 1, i, settings)
 }
