--- a/lib/audit/finding.go
+++ b/lib/audit/finding.go
@@ -57,7 +57,12 @@
 
 // Refused returns an error for a configuration that its own decoder refuses although nothing else was found.
 func Refused(cause error) Finding {
-	return Finding{Class: ClassInvalid, Severity: SeverityError, Text: "the configuration would be refused: " + cause.Error()}
+	return Finding{
+		Class:    ClassInvalid,
+		Remedy:   "correct the file",
+		Severity: SeverityError,
+		Text:     "the configuration would be refused: " + printable(cause.Error()),
+	}
 }
 
 // Rejected returns an Invalid fault when there are errors among the findings of a file.
--- a/lib/audit/parse.go
+++ b/lib/audit/parse.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"strings"
+	"unicode"
+	"unicode/utf8"
 )
 
 // Bounds of a file.
@@ -215,10 +217,20 @@
 	}
 }
 
-// shorten returns the text of a value, cut after 80 bytes.
+// shorten returns the text of a value, cut after 80 bytes and without control characters.
 func shorten(text string) string {
 	if len(text) > maxQuoted {
-		return strings.ToValidUTF8(text[:maxQuoted], "") + "..."
+		text = text[:maxQuoted] + "..."
 	}
-	return text
+	return printable(text)
+}
+
+// printable returns a text with a question mark for each character that can't be printed, as it may come from any file.
+func printable(text string) string {
+	return strings.Map(func(r rune) rune {
+		if r == utf8.RuneError || !unicode.IsPrint(r) {
+			return '?'
+		}
+		return r
+	}, text)
 }
--- a/lib/audit/reader_test.go
+++ b/lib/audit/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -133,6 +134,20 @@
 	g.Expect(merged[maxFindings].Severity).To(gomega.Equal(SeverityError))
 }
 
+// Guards against a file that sends control characters to the operator's terminal.
+func TestTextsHaveNoControlCharacters(t *testing.T) {
+	g := gomega.NewWithT(t)
+	config := newRoutes()
+	config.Routes[0].Name = "\x1b[2J\u009b"
+	inForce := newRoutes()
+	inForce.Routes[1].Fields[0].Text = "\"\u009b2J\x7f\n\""
+	findings := append(Check(config, &inForce, routeSchema), Refused(errors.New("\x1b[2J\n")))
+	g.Expect(len(findings)).To(gomega.BeNumerically(">", 3))
+	for _, finding := range findings {
+		g.Expect(finding.Text + finding.Place + finding.Remedy).NotTo(gomega.MatchRegexp(`[[:cntrl:]\x{80}-\x{9f}]`))
+	}
+}
+
 // Guards against input that panics, and against output that isn't one line for each finding.
 func FuzzReader(f *testing.F) {
 	for _, seed := range []string{``, `{}`, `{"a":1}`, `{"a":[{"a":"x"}]}`, `{"a":"1.2.3.4:5","b":{"":null}}`, `{"a":-1e999}`, `[[[[`, "\xff"} {
