Keep an agent among the members while a process listens beside it

The call with which a backend server leaves carries an ID but no start time. One of an earlier process that arrived late, after the next process with the same ID had announced itself, made the agent delete its entry in the store; balancers that start then take its flows for ended. An agent that was stopped meanwhile stayed deleted and said that it had left.

Change: before the agent deletes its entry, running or stopping, it connects to the backend server's address. A backend server that says it leaves and still finishes flows thus also stays listed until it has ended.

Not changed: the backend server gets no new flows until its next announcement but one, since one may have been sent before a true leave.

TestLateLeaveOfEarlierProcessKeepsAgentAmongMembers fails before in both of its parts (6 members instead of 7) and passes now. TestLateDeleteDoesNotMakeNewBalancersResetFlows started the next process before the agent had sent its delete, which the agent no longer sends then; it now waits for the delete first and checks the same as before.

--- a/agent/tuple/members.go
+++ b/agent/tuple/members.go
@@ -23,11 +23,12 @@
 
 // runMembers joins the member list and subscribes the balancers in it to reports. It joins again whenever a balancer
 // reports that this agent is not listed, or that its entry may be marked for removal. It leaves the list when the backend
-// server has ended for good and joins again with the next backend server.
+// server has ended for good and joins again with the next backend server; while a process listens at the backend server's
+// address, it tries to leave again later.
 func (n *Node) runMembers() {
 	n.joinAtStart()
 	joinRequested := n.joinRequested
-	var pauseEnd <-chan time.Time
+	var pauseEnd, nextLeave <-chan time.Time
 	for n.ctx.Err() == nil {
 		select {
 		case <-n.guard.Due():
@@ -41,24 +42,41 @@
 		case <-pauseEnd:
 			joinRequested = n.joinRequested
 		case <-n.leaveRequested:
-			n.leaveMembers()
-			n.waitForServer()
-			n.join(true)
+			nextLeave = n.leaveUntilNextServer()
+		case <-nextLeave:
+			nextLeave = n.leaveUntilNextServer()
 		case <-n.ctx.Done():
 		}
 	}
 }
 
-// leaveMembers removes this agent from the member list unless another backend server has started meanwhile.
-func (n *Node) leaveMembers() {
+// leaveUntilNextServer leaves the member list and joins again with the next backend server. If a process listens that has not announced
+// itself since, it changes nothing and returns a channel that tells when to try again.
+func (n *Node) leaveUntilNextServer() <-chan time.Time {
+	if n.leaveMembers() {
+		n.waitForServer()
+		n.join(true)
+		return nil
+	}
+	if n.hasServer() {
+		return nil
+	}
+	return time.After(minProbePause)
+}
+
+// leaveMembers removes this agent from the member list, and reports whether it has tried to. It doesn't while a process listens at the
+// backend server's address: that one may still finish flows, or be a later process whose predecessor's leave has arrived late.
+func (n *Node) leaveMembers() (tried bool) {
 	netio.Retry(n.ctx, func() error {
-		if n.hasServer() {
+		if n.hasServer() || !n.probeServerPort() {
 			return nil
 		}
+		tried = true
 		return n.leave(n.ctx)
 	}, func(err error) {
 		n.config.Log.Warn("This agent can't leave the member list.", logs.Fields{"error": err.Error()})
 	})
+	return tried
 }
 
 // leave removes this agent from the member list, and the snapshot of its flows, which have ended, from the store.
--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -231,9 +231,9 @@
 // member list, with its snapshot: balancers would wait for the agent's answer before they take any flow for ended.
 func (n *Node) shutDown() {
 	n.config.Log.Info("Stopping.", nil)
-	n.probeServerPort()
+	closed := n.probeServerPort()
 	n.mu.Lock()
-	gone := n.server.State(time.Now()) == flows.StateGone
+	gone := closed && n.server.State(time.Now()) == flows.StateGone
 	n.mu.Unlock()
 	if gone {
 		ctx, cancel := context.WithTimeout(n.ctx, leaveTimeout)
--- a/agent/tuple/probe.go
+++ b/agent/tuple/probe.go
@@ -38,17 +38,20 @@
 	}
 }
 
-// probeServerPort connects to the backend server's address. If no process listens there, all its flows have ended.
-func (n *Node) probeServerPort() {
+// probeServerPort connects to the backend server's address, and reports whether no process listens there, so that all its flows have
+// ended.
+func (n *Node) probeServerPort() bool {
 	conn, err := net.DialTimeout("tcp4", n.config.Inlet.String(), probeTimeout)
 	switch {
 	case err == nil:
 		_ = conn.Close()
 	case errors.Is(err, syscall.ECONNREFUSED):
 		n.handlePortClosed(time.Now())
+		return true
 	default:
 		n.config.Log.Warn("The backend server can't be probed.", logs.Fields{"error": err.Error()})
 	}
+	return false
 }
 
 // handlePortClosed records that the backend server's port is closed. If that shows that the backend server has ended,
--- a/standin/tuple/late_test.go
+++ b/standin/tuple/late_test.go
@@ -39,6 +39,8 @@
 	c.Store.SetFault(StoreFault{LateBy: lateBy, LateMethod: http.MethodDelete, LateWrites: 1})
 	c.Backend(0).Crash()
 	removeBackend(g, c, 0)
+	// The agent deletes its entry only while no process listens at the backend server's address.
+	g.Eventually(func() int { return c.Store.currentFault().LateWrites }, requestTimeout, time.Millisecond).Should(gomega.BeZero())
 	g.Expect(c.Replace(0)).To(gomega.Succeed())
 	g.Eventually(func() int { return c.Store.Counts().LateWrites }, 2*lateBy, pollInterval).Should(gomega.Equal(1))
 	g.Eventually(func() []string { return agentStates(g, c, 0) }, requestTimeout, shortWait).
--- a/standin/tuple/leave_test.go
+++ b/standin/tuple/leave_test.go
@@ -135,3 +135,29 @@
 	c.Store.SetFault(StoreFault{})
 	g.Expect(agentStates(g, c, 0)).To(gomega.Equal([]string{"gone", "gone", "gone"}))
 }
+
+// Guards against a leave of an earlier process with the same ID that arrives late, since it carries no start time: the agent removed its
+// entry while the later process served flows, at once or when it was stopped.
+func TestLateLeaveOfEarlierProcessKeepsAgentAmongMembers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := startTestCluster(t, 91)
+	members := c.Members()
+	g.Expect(c.Replace(0)).To(gomega.Succeed())
+	g.Eventually(func() []string { return agentStates(g, c, 0) }, requestTimeout, shortWait).
+		Should(gomega.Equal([]string{"ready", "ready", "ready"}))
+	flows := openFlows(g, c, "open", 20)
+	g.Expect(c.Backend(0).FlowCount()).To(gomega.BeNumerically(">", 0))
+	removeBackend(g, c, 0)
+	g.Consistently(c.Members, 4*announceInterval, shortWait/10).Should(gomega.Equal(members))
+	g.Expect(agentStates(g, c, 0)).To(gomega.Equal([]string{"ready", "ready", "ready"}))
+	removeBackend(g, c, 0)
+	agent := c.Process("agent-0")
+	agent.Signal(syscall.SIGTERM)
+	g.Expect(agent.WaitExit(requestTimeout)).To(gomega.BeTrue())
+	g.Expect(c.Members()).To(gomega.Equal(members))
+	g.Expect(agent.Start()).To(gomega.Succeed())
+	for _, err := range getAll(flows, "after", 3000) {
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	checkBackends(g, c)
+}
