--- a/balancer/tuple/control.go
+++ b/balancer/tuple/control.go
@@ -145,15 +145,15 @@
 // checkStore makes the reads that are due, at the same time, and sends all balancers digests that state which reads have succeeded.
 func (n *Node) checkStore(now time.Time) {
 	configDue, zonesDue := n.readsDue(now)
-	zonesListed := make(chan bool, 1)
+	listed := make(chan bool, 1)
 	if zonesDue {
-		go n.runZoneList(zonesListed)
+		go n.runZoneList(listed)
 	} else {
-		zonesListed <- false
+		listed <- false
 	}
 	configRead := configDue && n.readConfig()
-	if zonesRead := <-zonesListed; configRead || zonesRead {
-		n.sendReadNotice(configRead, zonesRead)
+	if zonesListed := <-listed; configRead || zonesListed {
+		n.sendReadNotice(configRead, zonesListed)
 	}
 }
 
--- a/balancer/tuple/zones.go
+++ b/balancer/tuple/zones.go
@@ -16,11 +16,11 @@
 // call that hangs delays the next attempt after it.
 const zoneListTimeout = time.Second
 
-// runZoneList lists the evacuated availability zones and states on done whether that has succeeded.
-func (n *Node) runZoneList(done chan<- bool) { done <- n.listZones() }
+// runZoneList lists the evacuated availability zones and states on forAll whether all balancers are to be told.
+func (n *Node) runZoneList(forAll chan<- bool) { forAll <- n.listZones() }
 
-// listZones lists the evacuated availability zones and reports whether that has succeeded. A change goes to all balancers and to the
-// agents of the changed availability zones at once.
+// listZones lists the evacuated availability zones and reports whether all balancers are to be told that it has. A change goes to them
+// and to the agents of the changed availability zones at once.
 func (n *Node) listZones() bool {
 	requestedAt := time.Now()
 	ctx, cancel := context.WithTimeout(n.ctx, zoneListTimeout)
@@ -49,7 +49,7 @@
 	}
 	state, omitted := zones.NewState(version, hashes)
 	n.mu.Lock()
-	change := n.zoneSync.recordList(now, requestedAt, state)
+	change, forAll := n.zoneSync.recordList(now, requestedAt, state)
 	n.learnZoneNames(names)
 	omittedChanged := n.zonesOmitted != omitted
 	n.zonesOmitted = omitted
@@ -58,8 +58,11 @@
 		notices = n.director.Agents.ZonesNotices(now)
 	}
 	n.mu.Unlock()
-	if change.Any() {
+	switch {
+	case change.Any() && forAll:
 		n.sendDigests(n.allPeers())
+	case change.Any():
+		n.sendDigests(n.nextDigestPeers())
 	}
 	for _, notice := range notices {
 		n.socket.Send(notice.Zones.Append(nil), notice.Agent.AddrPort())
@@ -68,7 +71,7 @@
 		n.config.Log.Warn("Too many availability zones are evacuated.", logs.Fields{"limit": zones.MaxZones, "omitted": omitted})
 	}
 	n.logZones(change, state, "store")
-	return true
+	return forAll
 }
 
 // recordZoneListFailure records that the evacuated availability zones could not be listed.
--- a/balancer/tuple/zonesync.go
+++ b/balancer/tuple/zonesync.go
@@ -38,14 +38,20 @@
 	return s.enabled() && !now.Before(s.reads.retryAt) && (withConfig || s.reads.due(now))
 }
 
-// recordList records a complete list that was requested at the given time, and returns what has changed.
-func (s *zoneSync) recordList(now, requestedAt time.Time, state zones.State) zones.Change {
-	change := s.tracker.Apply(now, state)
+// recordList records a complete list that was requested at the given time. It returns what has changed, and whether all balancers have to
+// be told. The list that each balancer makes at its start is not for all: when many start, their notices would grow with the square of
+// their number.
+func (s *zoneSync) recordList(now, requestedAt time.Time, state zones.State) (change zones.Change, forAll bool) {
+	change = s.tracker.Apply(now, state)
+	if s.reads.lastRead.IsZero() {
+		s.reads.recordRead(requestedAt)
+		return change, false
+	}
 	s.reads.recordNotice(requestedAt, s.reads.self)
 	if change.Any() {
 		s.repeats = zoneRepeats
 	}
-	return change
+	return change, true
 }
 
 // recordListFailure records that the list has failed. The reader tries again soon, all others together as often, and a balancer that
