--- a/agent/tuple/observe.go
+++ b/agent/tuple/observe.go
@@ -79,14 +79,14 @@
 	return limit
 }
 
-// recordPace logs the begins and ends of slow starts, and counts the openings rejected by reason.
-func (n *Node) recordPace(changes []pace.Change, refusals map[pace.Refusal]int) {
+// recordPace logs, up to a rate, the begins and ends of slow starts, and counts the openings rejected by reason.
+func (n *Node) recordPace(now time.Time, changes []pace.Change, refusals map[pace.Refusal]int) {
 	for _, change := range changes {
 		if change.Began {
-			n.config.Log.Info("Slow start has begun.", logs.Fields{"cause": string(change.Cause)})
+			n.logLimited(now, "Slow start has begun.", logs.Fields{"cause": string(change.Cause)})
 			continue
 		}
-		n.config.Log.Info("Slow start has ended.", logs.Fields{"cause": string(change.Cause), "took": change.Took.Round(time.Millisecond).String()})
+		n.logLimited(now, "Slow start has ended.", logs.Fields{"cause": string(change.Cause), "took": change.Took.Round(time.Millisecond).String()})
 	}
 	for refusal, count := range refusals {
 		n.meter.rejectedOpenings[refusal].Add(count)
--- a/agent/tuple/packets.go
+++ b/agent/tuple/packets.go
@@ -118,11 +118,14 @@
 		return
 	}
 	n.mu.Lock()
+	known := n.dispatcher.LimitsKnown()
 	applied := n.dispatcher.SetLimits(limits)
 	n.mu.Unlock()
 	if applied {
 		n.config.Log.Info("Limits applied.", logs.Fields{"coldPerSecond": limits.ColdPerSecond, "flows": limits.MaxFlows, "version": limits.Version})
-		n.requestReport()
+	}
+	if applied && !known {
+		n.requestReport() // balancers send limits until they are told that these are known
 	}
 }
 
--- a/agent/tuple/timers.go
+++ b/agent/tuple/timers.go
@@ -62,7 +62,7 @@
 	refusals := n.dispatcher.TakeRefusals()
 	n.mu.Unlock()
 	n.recordEnded(now, ended)
-	n.recordPace(changes, refusals)
+	n.recordPace(now, changes, refusals)
 	for i := range released {
 		n.execute(now, out, &released[i], nil)
 	}
--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -277,7 +277,7 @@
 		Busy:            d.busy + d.Waiting(),
 		Flows:           d.flows.Len(),
 		Interval:        slowReportInterval,
-		LimitsKnown:     d.pacer.Limits().Version > 0,
+		LimitsKnown:     d.LimitsKnown(),
 		Listing:         d.listing,
 		MeanServiceTime: d.meanServiceTime,
 		Room:            min(room, maxStatedRoom),
--- a/lib/flows/limits.go
+++ b/lib/flows/limits.go
@@ -8,6 +8,8 @@
 const (
 	// limitsInterval is the shortest time between two messages with limits to an agent that does not know them.
 	limitsInterval = time.Second
+	// limitsBatch is how many messages with limits are sent at once. When the limits of a large service change, it takes some ticks.
+	limitsBatch = 100
 	// maxFlowLimit bounds the limit of flows in a message.
 	maxFlowLimit = 1 << 30
 	thousandths  = 1000 // per unit
@@ -86,13 +88,15 @@
 	}
 }
 
-// TakeLimits returns the messages with limits that are due to agents.
+// TakeLimits returns some of the messages with limits that are due to agents. It must be called regularly.
 func (d *Director) TakeLimits(now time.Time) []LimitsMessage {
 	if d.routes.Version == 0 {
 		return nil
 	}
 	var messages []LimitsMessage
-	for _, address := range d.Agents.limitsDue {
+	batch := d.Agents.limitsDue[:min(limitsBatch, len(d.Agents.limitsDue))]
+	d.Agents.limitsDue = d.Agents.limitsDue[len(batch):]
+	for _, address := range batch {
 		agent := d.Agents.byAddress[address]
 		if agent == nil || !agent.limitsDue {
 			continue
@@ -106,6 +110,5 @@
 			Version:       d.routes.Version,
 		}})
 	}
-	d.Agents.limitsDue = nil
 	return messages
 }
--- a/lib/flows/network_test.go
+++ b/lib/flows/network_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"github.com/cyclamendock/cyclamendock/lib/pace"
 )
 
 const (
@@ -76,6 +78,7 @@
 	loss        float64 // probability that a packet is lost
 	now         time.Time
 	ownerOf     map[Flow]*testAgent // agent whose backend server holds or held each flow
+	pacing      pace.Settings
 	random      *rand.Rand
 	resets      map[Flow]Reason
 	routes      Routes   // latest configuration
@@ -127,6 +130,7 @@
 		FirstEcho:    n.random.Uint32(),
 		FlowLifetime: time.Minute,
 		KnownFrom:    knownFrom,
+		Pacing:       n.pacing,
 		Self:         a.address,
 		Server:       a.server,
 		Service:      HashName(a.service),
--- a/lib/flows/pacing.go
+++ b/lib/flows/pacing.go
@@ -6,6 +6,9 @@
 	"github.com/cyclamendock/cyclamendock/lib/pace"
 )
 
+// lateSharePercent is the share of its timeout after which an abandoned request counts as failed.
+const lateSharePercent = 75
+
 // ReasonNoRoom means that a repeated opening has to wait for the limit for cold backend servers.
 const ReasonNoRoom Reason = "noRoom"
 
@@ -33,6 +36,15 @@
 	d.pacer.RecordResponse(now, response, load)
 }
 
+// recordAbandoned tells the pacer about a request whose caller has closed its flow. One that has waited for most of its timeout has
+// not got its response in time.
+func (d *Dispatcher) recordAbandoned(now time.Time, state *flowState) {
+	timeout := state.deadline.Sub(state.startedAt)
+	if state.inProgress && state.requestSeen && now.Sub(state.startedAt) > timeout*lateSharePercent/percent {
+		d.recordResponse(now, pace.Response{Failed: true})
+	}
+}
+
 // refuse returns why a new flow can't be accepted. The pace does not count when no other agent is left to try.
 func (d *Dispatcher) refuse(now time.Time, f *Forward) pace.Refusal {
 	d.observeServer(now)
@@ -133,6 +145,9 @@
 	})
 }
 
+// LimitsKnown reports whether the limits of the service are known.
+func (d *Dispatcher) LimitsKnown() bool { return d.pacer.Limits().Version > 0 }
+
 // Room returns how many new flows the agent accepts now, or pace.Unlimited.
 func (d *Dispatcher) Room(now time.Time) int {
 	d.observeServer(now)
--- a/lib/flows/pacing_test.go
+++ b/lib/flows/pacing_test.go
@@ -334,3 +334,43 @@
 	a.dispatcher.SetLimits(Limits{MaxFlows: 2000, Version: 1})
 	g.Expect(a.dispatcher.Report(a.now).RoomLimited).To(gomega.BeFalse(), "far below the limit")
 }
+
+// Guards against openings that are lost, circulate without end or are refused when all backend servers start at once.
+func TestAllFlowsOpenWhenAllServersStartAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newTestNetwork(3, 5, 20)
+	n.pacing = pace.Settings{Pacing: true}
+	for _, a := range n.agents {
+		n.startHost(a)
+	}
+	n.reportAll()
+	flows := 0
+	for range 6 {
+		for range 20 {
+			n.sendFromCaller(testFlow(flows), FlagSyn, 0)
+			flows++
+		}
+		n.advance(10 * time.Millisecond)
+	}
+	for i := range flows {
+		n.sendFromCaller(testFlow(i), FlagAck, 0)
+		g.Expect(n.ownerOf).To(gomega.HaveKey(testFlow(i)))
+	}
+	g.Expect(n.resets).To(gomega.BeEmpty())
+	g.Expect(n.longestPath).To(gomega.BeNumerically("<=", 20))
+}
+
+// Guards against a started backend server that is flooded by balancers whose reports are old, while others are warm.
+func TestStartedServerGetsFewFlowsAtFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newTestNetwork(4, 5, 12)
+	n.pacing = pace.Settings{Pacing: true}
+	started := n.agents[0]
+	n.startHost(started)
+	n.reportAll()
+	for i := range 40 {
+		n.sendFromCaller(testFlow(i), FlagSyn, 0)
+	}
+	g.Expect(started.flows).To(gomega.HaveLen(1))
+	g.Expect(n.resets).To(gomega.BeEmpty())
+}
--- a/lib/flows/requests.go
+++ b/lib/flows/requests.go
@@ -48,6 +48,7 @@
 	state.lastAck = p.Ack
 	if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
 		d.recordEnded(now, flow, state, EndingAbandoned) // the caller expects no response any more
+		d.recordAbandoned(now, state)
 		d.clearRequest(state)
 		return
 	}
--- a/lib/pace/pacer.go
+++ b/lib/pace/pacer.go
@@ -135,7 +135,7 @@
 	if !p.settings.Pacing || !p.ready {
 		return
 	}
-	p.ramp.record(now, response, load.Busy)
+	p.ramp.record(now, response, load.Busy, load.Cold)
 	p.update(now, load)
 }
 
--- a/lib/pace/ramp.go
+++ b/lib/pace/ramp.go
@@ -81,13 +81,13 @@
 }
 
 // record applies a response that came while busy requests, including its own, were in progress.
-func (r *ramp) record(now time.Time, response Response, busy int) {
+func (r *ramp) record(now time.Time, response Response, busy int, cold bool) {
 	r.samples++
 	if response.Failed {
 		r.failures += (1 - r.failures) * recentWeight
 	} else {
 		r.failures -= r.failures * recentWeight
-		r.recordTime(response.ServiceTime)
+		r.recordTime(response.ServiceTime, cold)
 	}
 	switch {
 	case !r.active:
@@ -102,13 +102,14 @@
 	}
 }
 
-// recordTime updates the averages of the service time.
-func (r *ramp) recordTime(serviceTime time.Duration) {
+// recordTime updates the averages of the service time. That of a cold backend server is not usual.
+func (r *ramp) recordTime(serviceTime time.Duration, cold bool) {
 	r.timed++
 	weight := max(recentWeight, 1/float64(r.timed))
 	r.recent += time.Duration(float64(serviceTime-r.recent) * weight)
 	switch {
-	case r.usual == 0 && !r.active:
+	case !r.active && cold:
+	case !r.active && r.usual == 0:
 		r.usual = serviceTime
 	case !r.active:
 		r.usual += time.Duration(float64(serviceTime-r.usual) * usualWeight)
@@ -153,8 +154,7 @@
 	r.limit = max(minLimit, r.limit*max(maxBackoff, slowFactor*float64(r.usual)/float64(r.recent)))
 }
 
-// update ends a ramp and reports whether it did: once more than all slots may be used and the backend server is warm, or after maxRamp without
-// failed responses.
+// update ends a ramp and reports whether it did: once all slots may be used, or after maxRamp without failed responses.
 func (r *ramp) update(now time.Time, slots int, cold bool) bool {
 	if !r.active {
 		return false
@@ -162,10 +162,10 @@
 	r.limit = min(r.limit, float64(slots+1))
 	full := r.limit > float64(slots)
 	expired := now.Sub(r.began) > maxRamp && now.Sub(r.lastFailure) > maxRamp
-	if cold || !full && !expired {
+	if !full && !expired {
 		return false
 	}
-	if expired && r.recent > 0 {
+	if expired && r.recent > 0 && !cold {
 		r.usual = r.recent
 	}
 	r.active = false
