--- a/lib/flows/pacing_test.go
+++ b/lib/flows/pacing_test.go
@@ -374,3 +374,25 @@
 	g.Expect(started.flows).To(gomega.HaveLen(1))
 	g.Expect(n.resets).To(gomega.BeEmpty())
 }
+
+// Guards against living flows that are reset, or flows that stay without an answer, while agents reject openings for lack of room.
+func TestOnlyEndedFlowsAreResetWhilePaced(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newTestNetwork(rapid.Uint64().Draw(t, "seed"), 3, rapid.IntRange(1, 7).Draw(t, "agents"))
+		n.pacing = testPacing
+		for _, a := range n.agents {
+			n.startHost(a)
+		}
+		n.reportAll()
+		n.loss = rapid.SampledFrom([]float64{0, 0.02}).Draw(t, "loss")
+		flows := rapid.IntRange(1, 12).Draw(t, "flows")
+		for i := range flows {
+			n.openFlow(testFlow(i))
+		}
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			n.injectFault(t)
+			n.useFlows(t, flows)
+		}
+		n.checkRecovery(t, flows)
+	})
+}
