Count a flow as ended once its caller's closing packet is delivered

Cause: the agent tracks a flow until its backend server closes it or it has been idle for a minute, and a backend server may end a flow that its caller closes without a packet. With a limit of 2,000 flows, 33 flows a second would have made the agent refuse all new ones.

Change: the limit counts the flows without those that their callers have closed, and without openings that were never completed for 20 s. An opening of a closed flow's 4-tuple counts anew.

--- a/agent/tuple/observe.go
+++ b/agent/tuple/observe.go
@@ -60,6 +60,7 @@
 	gauge("cyclamendock_agent_flows", n.dispatcher.Flows)
 	gauge("cyclamendock_agent_requests_in_progress", n.dispatcher.Busy)
 	gauge("cyclamendock_agent_flows_waiting", n.dispatcher.Waiting)
+	gauge("cyclamendock_agent_flows_open", n.dispatcher.OpenFlows)
 	gauge("cyclamendock_agent_pace", n.dispatcher.Pace)
 	gauge("cyclamendock_agent_room", func() int { return limitGauge(n.dispatcher.Room(time.Now())) })
 	gauge("cyclamendock_agent_flows_limit", func() int { return limitGauge(n.dispatcher.FlowLimit(time.Now())) })
--- a/lib/flows/accept.go
+++ b/lib/flows/accept.go
@@ -15,8 +15,8 @@
 	if d.queue.find(flow) != nil || d.coldQueue.find(flow) != nil {
 		return AgentVerdict{Flow: flow, Reason: ReasonQueued}
 	}
-	if _, repeated := d.flows.Get(now, flow); repeated {
-		return d.repeatOpening(now, f, p)
+	if state, known := d.flows.Get(now, flow); known {
+		return d.repeatOpening(now, f, p, state)
 	}
 	if refusal := d.refuse(now, f); refusal != pace.RefusedNone {
 		return d.rejectOpening(now, f, p, refusal)
--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -74,6 +74,7 @@
 
 // flowState is the state of a flow that the backend server holds or may hold.
 type flowState struct {
+	closedByCaller bool          // the caller has closed or reset it, and the backend server has sent no data since
 	dataSeen       bool          // the caller has sent data; nextSeq is valid
 	deadline       time.Time     // when the caller of the request in progress gives up
 	established    bool          // the backend server has sent a packet after its handshake
@@ -94,12 +95,14 @@
 type Dispatcher struct {
 	admissions      []admission            // new flows whose first request is expected, oldest first
 	busy            int                    // requests in progress
+	callerClosed    int                    // flows that their callers have closed
 	closed          *Cache[Flow, struct{}] // flows that the backend server has closed a short time ago
 	coldQueue       *WaitQueue             // new flows that wait until the limit for cold backend servers permits them
 	config          DispatcherConfig
 	deliveries      []delivery // ring, indexed by echo
 	ended           []Ended    // requests that ended since the last TakeEnded
 	flows           *Cache[Flow, *flowState]
+	halfOpen        int // openings whose callers have given up, as of the last Sweep
 	held            heldAddresses
 	listing         Listing
 	meanHandshake   time.Duration // moving average of the time from a flow's admission to its first request; zero until known
@@ -238,6 +241,9 @@
 		}
 	}
 	state.tentative = false
+	if p.Length > 0 {
+		d.markClosed(state, false)
+	}
 	if p.Length > 0 && state.inProgress && state.requestSeen {
 		d.recordAnswered(now, flow, state)
 	}
@@ -304,6 +310,7 @@
 	d.closed.Sweep(now)
 	d.flows.Sweep(now)
 	d.held.sweep(now)
+	d.countEnded(now)
 	d.countRestored(now)
 	timedOut := 0
 	d.busy = 0
--- a/lib/flows/pacing.go
+++ b/lib/flows/pacing.go
@@ -6,8 +6,13 @@
 	"github.com/cyclamendock/cyclamendock/lib/pace"
 )
 
-// lateSharePercent is the share of its timeout after which an abandoned request counts as failed.
-const lateSharePercent = 75
+const (
+	// halfOpenLifetime is how long an opening counts as a flow whose caller sends nothing more. Callers give up within seconds; a
+	// backend server keeps such a flow for as long as an idle one, 15 s in current configurations.
+	halfOpenLifetime = 20 * time.Second
+	// lateSharePercent is the share of its timeout after which an abandoned request counts as failed.
+	lateSharePercent = 75
+)
 
 // ReasonNoRoom means that a repeated opening has to wait for the limit for cold backend servers.
 const ReasonNoRoom Reason = "noRoom"
@@ -17,7 +22,7 @@
 	return pace.Load{
 		Busy:          d.busy,
 		Cold:          d.config.Server.Warming(now),
-		Flows:         d.flows.Len() + d.restoredUnseen,
+		Flows:         d.OpenFlows(),
 		FlowsComplete: !now.Before(d.held.knownFrom),
 		Slots:         d.config.Server.Slots(),
 	}
@@ -109,8 +114,16 @@
 	return verdicts
 }
 
-// repeatOpening delivers the repeated opening of a flow, unless it is one opening packet more than a cold backend server may get now.
-func (d *Dispatcher) repeatOpening(now time.Time, f *Forward, p Packet) AgentVerdict {
+// repeatOpening delivers the repeated opening of a flow, unless it is one opening packet more than a cold backend server may get now. The
+// opening of a flow that its caller has closed opens a new one.
+func (d *Dispatcher) repeatOpening(now time.Time, f *Forward, p Packet, state *flowState) AgentVerdict {
+	if state.closedByCaller {
+		if refusal := d.refuse(now, f); refusal != pace.RefusedNone {
+			return d.rejectOpening(now, f, p, refusal)
+		}
+		d.markClosed(state, false)
+		state.openedAt = now
+	}
 	if d.pacer.ColdRoom(now, d.load(now)) <= 0 {
 		return AgentVerdict{Flow: p.CallerFlow(), Reason: ReasonNoRoom}
 	}
@@ -123,6 +136,45 @@
 	return d.deliver(f, p)
 }
 
+// markClosed records whether the caller of a flow has closed it.
+func (d *Dispatcher) markClosed(state *flowState, closed bool) {
+	if state.closedByCaller == closed {
+		return
+	}
+	state.closedByCaller = closed
+	if closed {
+		d.callerClosed++
+	} else {
+		d.callerClosed--
+	}
+}
+
+// countEnded counts the tracked flows that the backend server no longer holds: those that their callers have closed, and openings whose
+// callers have given up.
+func (d *Dispatcher) countEnded(now time.Time) {
+	d.callerClosed, d.halfOpen = 0, 0
+	d.flows.Each(func(_ Flow, state *flowState) {
+		switch {
+		case state.closedByCaller:
+			d.callerClosed++
+		case !state.established && now.Sub(state.openedAt) > halfOpenLifetime:
+			d.halfOpen++
+		}
+	})
+}
+
+// OpenFlows returns the number of flows that count towards the limit of flows.
+func (d *Dispatcher) OpenFlows() int {
+	return max(0, d.flows.Len()-d.callerClosed-d.halfOpen) + d.restoredUnseen
+}
+
+// forgetRestored forgets a restored flow that its caller closes: its caller ignores resets from now on.
+func (d *Dispatcher) forgetRestored(p Packet) {
+	if p.Flags.Has(FlagReset) || p.Flags.Has(FlagFin) {
+		delete(d.restored.acks, p.CallerFlow())
+	}
+}
+
 // countRestored counts the restored flows that this process has not seen, which the backend server may hold.
 func (d *Dispatcher) countRestored(now time.Time) {
 	d.restoredUnseen = 0
--- a/lib/flows/pacing_test.go
+++ b/lib/flows/pacing_test.go
@@ -396,3 +396,41 @@
 		n.checkRecovery(t, flows)
 	})
 }
+
+// Guards against flows that count although their callers have closed them or given up, which would make the agent refuse all new ones,
+// and against closed ones that are opened again and don't count.
+func TestFlowsClosedByCallersDoNotCount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := newPacedAgent(time.Time{}, pace.Settings{}, 0)
+	a.dispatcher.SetLimits(Limits{MaxFlows: 100, Version: 1})
+	closeFlow := func(flow Flow, flag Flags) {
+		f := Forward{Datagram: []byte{1}, LatencyTarget: 300 * time.Millisecond, Service: HashName(testService), Timeout: time.Second}
+		a.dispatcher.HandleForward(a.now, &f, Packet{Destination: flow.Service, Flags: FlagAck | flag, Source: flow.Caller})
+	}
+	for i := range 1000 {
+		g.Expect(a.open(testEndpoint(1, 0), testFlow(i), nil).Action).To(gomega.Equal(AgentDeliver), "flow %d", i)
+		a.serve(testFlow(i))
+		closeFlow(testFlow(i), []Flags{FlagFin, FlagReset}[i%2])
+		if i%100 == 0 {
+			a.dispatcher.Sweep(a.now)
+		}
+	}
+	g.Expect(a.dispatcher.OpenFlows()).To(gomega.BeZero())
+	g.Expect(a.dispatcher.Snapshot(a.now.Add(minSnapshotAge)).Flows).To(gomega.BeEmpty())
+	for i := range 98 {
+		g.Expect(a.open(testEndpoint(1, 0), testFlow(i), nil).Action).To(gomega.Equal(AgentDeliver))
+		a.serve(testFlow(i))
+	}
+	g.Expect(a.dispatcher.OpenFlows()).To(gomega.Equal(98))
+	g.Expect(a.open(testEndpoint(1, 0), testFlow(98), nil).Action).To(gomega.Equal(AgentForwardOrReturn))
+	a.dispatcher.Sweep(a.now)
+	g.Expect(a.dispatcher.OpenFlows()).To(gomega.Equal(98))
+	closeFlow(testFlow(0), FlagFin)
+	g.Expect(a.open(testEndpoint(1, 0), testFlow(2000), nil).Action).To(gomega.Equal(AgentDeliver))
+	closeFlow(testFlow(1), FlagFin)
+	a.now = a.now.Add(halfOpenLifetime + time.Millisecond)
+	a.announce(1, StateReady, 0)
+	g.Expect(a.dispatcher.OpenFlows()).To(gomega.Equal(97))
+	a.dispatcher.Sweep(a.now)
+	g.Expect(a.dispatcher.OpenFlows()).To(gomega.Equal(96), "the caller of flow 2000 has given up")
+}
--- a/lib/flows/requests.go
+++ b/lib/flows/requests.go
@@ -40,6 +40,7 @@
 	state, ok := d.flows.Get(now, flow)
 	if !ok || state.tentative {
 		d.trackTentative(now, f, p)
+		d.forgetRestored(p)
 		return
 	}
 	if len(f.RejectedBy) > 0 || len(f.Next) > 0 {
@@ -50,6 +51,7 @@
 		d.recordEnded(now, flow, state, EndingAbandoned) // the caller expects no response any more
 		d.recordAbandoned(now, state)
 		d.clearRequest(state)
+		d.markClosed(state, true)
 		return
 	}
 	if p.Length == 0 || !state.inProgress && !state.hasNewData(p) {
@@ -144,4 +146,5 @@
 func (d *Dispatcher) removeFlow(flow Flow, state *flowState) {
 	d.flows.Delete(flow)
 	d.clearRequest(state)
+	d.markClosed(state, false)
 }
--- a/lib/flows/snapshot.go
+++ b/lib/flows/snapshot.go
@@ -71,7 +71,7 @@
 func (d *Dispatcher) Snapshot(now time.Time) Snapshot {
 	snapshot := Snapshot{StartMillis: d.config.Server.Current().StartMillis}
 	d.flows.Each(func(flow Flow, state *flowState) {
-		if state.established && now.Sub(state.openedAt) >= minSnapshotAge {
+		if state.established && !state.closedByCaller && now.Sub(state.openedAt) >= minSnapshotAge {
 			snapshot.Flows = append(snapshot.Flows, FlowRecord{Ack: state.lastAck, Flow: flow})
 		}
 	})
