Check with real processes that agents learn the limits of their service

Cause: only tests without a network covered the way of max_conns from the configuration through the balancers to the agents.

--- a/standin/tuple/cluster.go
+++ b/standin/tuple/cluster.go
@@ -178,6 +178,7 @@
 			"name": "r", "host": Route.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", Route.Port()), "type": "safe",
 			"aim_ms": 300, "timeout_ms": 2500, "priority": 2, "service": "desk",
 		}},
+		"services": []any{map[string]any{"name": "desk", "max_conns": 2000, "warmup_s": 2, "warmup_per_s": 0}},
 	})
 }
 
--- a/standin/tuple/cluster_test.go
+++ b/standin/tuple/cluster_test.go
@@ -173,6 +173,10 @@
 	served, err = c.Metrics("agent-0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(served).To(gomega.ContainSubstring(`cyclamendock_agent_requests_total{ending="answered"}`))
+	for i := range c.config.Agents {
+		g.Eventually(func() (string, error) { return c.Metrics(fmt.Sprintf("agent-%d", i)) }, requestTimeout).
+			Should(gomega.ContainSubstring("cyclamendock_agent_flows_limit 1960"), "balancers send the limits of the configuration")
+	}
 }
 
 func TestBlockedLogOutputDoesNotDelayFlows(t *testing.T) {
