Rank agents with and without room in one pass

Change: candidates collects agents with and without room in one pass over the ranked agents; the first of them shows whether any has room.

Tests of lib/flows pass.

--- a/lib/flows/opening.go
+++ b/lib/flows/opening.go
@@ -103,7 +103,6 @@
 	flow := p.CallerFlow()
 	service := route.ServiceFor(flow)
 	candidates := d.Agents.candidates(now, service, flow, skip)
-	onlyLimits := !d.Agents.anyRoom(now, service, skip)
 	if !d.config.Policy.WithoutLoads {
 		d.Agents.sortByCost(candidates, d.config.Zone)
 	}
@@ -111,6 +110,7 @@
 		return Verdict{Flow: flow, Reason: ReasonNoAgent}
 	}
 	d.hints.Put(now, flow, candidates[0])
+	onlyLimits := !d.Agents.hasRoom(candidates[0]) // then no other agent has room
 	verdict := d.forwardVerdict(now, route, p, service, candidates)
 	verdict.Forward.OnlyLimits = onlyLimits
 	return verdict
--- a/lib/flows/place.go
+++ b/lib/flows/place.go
@@ -18,28 +18,31 @@
 // candidates returns the first agents in the hash order of a new flow that can be given new flows, without those in
 // skip. Those without room are left out while others have some.
 func (a *Agents) candidates(now time.Time, service NameHash, flow Flow, skip []Endpoint) []Endpoint {
-	var chosen []Endpoint
+	var chosen, withoutRoom []Endpoint
 	a.lastUsed[service] = now
 	mayPlace := a.placementFilter(now, service)
-	needsRoom := a.anyRoom(now, service, skip)
 	for _, agent := range a.ranked(service, flow) {
-		if !mayPlace(agent) || slices.Contains(skip, agent.address) || needsRoom && !agent.hasRoom() {
-			continue
+		switch {
+		case !mayPlace(agent) || slices.Contains(skip, agent.address):
+		case agent.hasRoom():
+			chosen = append(chosen, agent.address)
+		case len(withoutRoom) < candidateCount:
+			withoutRoom = append(withoutRoom, agent.address)
 		}
-		chosen = append(chosen, agent.address)
 		if len(chosen) == candidateCount {
 			break
 		}
 	}
+	if len(chosen) == 0 {
+		return withoutRoom
+	}
 	return chosen
 }
 
-// anyRoom reports whether an agent of a service that can be given new flows, and is not in skip, has room for one.
-func (a *Agents) anyRoom(now time.Time, service NameHash, skip []Endpoint) bool {
-	mayPlace := a.placementFilter(now, service)
-	return slices.ContainsFunc(a.byService[service], func(agent *agentState) bool {
-		return agent.hasRoom() && mayPlace(agent) && !slices.Contains(skip, agent.address)
-	})
+// hasRoom reports whether an agent is expected to accept one more new flow.
+func (a *Agents) hasRoom(address Endpoint) bool {
+	agent := a.byAddress[address]
+	return agent == nil || agent.hasRoom()
 }
 
 // hasRoom reports whether an agent is expected to accept one more new flow.
