Replay sustained overload of uneven backend servers in the model

Cause: no test without a network showed what is answered in time when callers ask for more than the backend servers can do.

Change: the model gets sessions (long flows of several requests that can't move), speeds of backend servers, and counts of refusals and resets. A test asserts that goodput at 220 % of the capacity is at least 0.9 of that at 100 %.

--- a/standin/model/callers.go
+++ b/standin/model/callers.go
@@ -24,6 +24,7 @@
 type request struct {
 	answeredAt time.Time // zero without a response
 	attempts   int
+	address    flows.Endpoint    // address of the route
 	caller     *persistentCaller // caller whose flow the request uses; nil for a flow of its own
 	issuedAt   time.Time
 }
@@ -33,6 +34,7 @@
 	busy    bool
 	flow    flows.Flow // zero when none is open
 	nextSeq uint32
+	session *session // nil when the caller sends requests for as long as the simulation runs
 }
 
 // attempt is one attempt at a request, on one flow.
@@ -41,27 +43,31 @@
 	flow        flows.Flow
 	nextSeq     uint32
 	request     *request
+	startedAt   time.Time
 }
 
 // startCallers starts the request streams on short and on persistent flows.
 func (f *flowSimulation) startCallers() {
-	f.scheduleRequests(f.config.ShortFlowRate, func() *persistentCaller { return nil })
+	f.startSessions()
+	noCaller := func() *persistentCaller { return nil }
+	f.scheduleRequests(flowAddress, f.config.ShortFlowRate, noCaller)
+	f.scheduleRequests(floodAddress, f.config.FloodRate, noCaller)
 	for range f.config.PersistentCallers {
 		f.persistent = append(f.persistent, &persistentCaller{})
 	}
 	if len(f.persistent) > 0 {
-		f.scheduleRequests(f.config.PersistentFlowRate, func() *persistentCaller { return f.persistent[f.random.IntN(len(f.persistent))] })
+		f.scheduleRequests(flowAddress, f.config.PersistentFlowRate, func() *persistentCaller { return f.persistent[f.random.IntN(len(f.persistent))] })
 	}
 }
 
-// scheduleRequests issues requests at a mean rate per second until the end of the measurement.
-func (f *flowSimulation) scheduleRequests(rate float64, chooseCaller func() *persistentCaller) {
+// scheduleRequests issues requests of a route at a mean rate per second until the end of the measurement.
+func (f *flowSimulation) scheduleRequests(address flows.Endpoint, rate float64, chooseCaller func() *persistentCaller) {
 	if rate <= 0 || f.clock.now.After(f.measureFrom.Add(f.config.Duration)) {
 		return
 	}
 	pause := time.Duration(f.random.ExpFloat64() / rate * float64(time.Second))
 	f.clock.after(pause, func() {
-		r := &request{caller: chooseCaller(), issuedAt: f.clock.now}
+		r := &request{address: address, caller: chooseCaller(), issuedAt: f.clock.now}
 		if r.caller != nil && r.caller.busy {
 			r.caller = nil // the persistent flow is in use, so this request opens its own
 		}
@@ -70,7 +76,7 @@
 		}
 		f.requests = append(f.requests, r)
 		f.startAttempt(r)
-		f.scheduleRequests(rate, chooseCaller)
+		f.scheduleRequests(address, rate, chooseCaller)
 	})
 }
 
@@ -82,11 +88,11 @@
 		return
 	}
 	r.attempts++
-	a := &attempt{request: r}
+	a := &attempt{request: r, startedAt: f.clock.now}
 	if caller := r.caller; caller != nil && caller.flow != (flows.Flow{}) {
 		a.flow, a.established, a.nextSeq = caller.flow, true, caller.nextSeq
 	} else {
-		a.flow = f.newFlow()
+		a.flow = f.newFlow(r.address)
 	}
 	f.attempts[a.flow] = a
 	if a.established {
@@ -105,15 +111,19 @@
 
 // releaseCaller makes a request's persistent caller available again.
 func (f *flowSimulation) releaseCaller(r *request) {
-	if r.caller != nil {
-		r.caller.busy = false
+	if r.caller == nil {
+		return
+	}
+	r.caller.busy = false
+	if r.caller.session != nil {
+		f.continueSession(r.caller)
 	}
 }
 
-func (f *flowSimulation) newFlow() flows.Flow {
+func (f *flowSimulation) newFlow(address flows.Endpoint) flows.Flow {
 	f.createdFlows++
 	caller := flows.Endpoint{IP: [4]byte{100, 64, byte(f.createdFlows >> 22), byte(f.createdFlows >> 14)}, Port: uint16(1024 + f.createdFlows&0x3fff)}
-	return flows.Flow{Caller: caller, Service: flowAddress}
+	return flows.Flow{Caller: caller, Service: address}
 }
 
 func (f *flowSimulation) newPacket(a *attempt, flags flows.Flags, length int) flows.Packet {
@@ -168,6 +178,10 @@
 			f.closeIdleFlow(flow)
 			return
 		}
+		f.resets++
+		if !a.established && a.startedAt.After(f.measureFrom) {
+			f.refusedAfter = append(f.refusedAfter, f.clock.now.Sub(a.startedAt))
+		}
 		f.endAttempt(a)
 		if a.established && a.request.caller != nil && f.config.UnsafePersistent {
 			f.releaseCaller(a.request)
@@ -199,7 +213,9 @@
 			f.sendRequest(a, 200*time.Millisecond)
 		}
 	case p.Length == shedResponseLength:
+		f.shed++
 		f.endAttempt(a)
+		f.sendFin(a)
 		f.startAttempt(a.request)
 	case p.Length == responseLength:
 		f.finishRequest(a)
@@ -215,7 +231,7 @@
 		f.sendFin(a)
 		return
 	}
-	caller.busy = false
 	caller.flow = a.flow
 	caller.nextSeq = a.nextSeq + requestLength
+	f.releaseCaller(a.request)
 }
--- a/standin/model/flows.go
+++ b/standin/model/flows.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/lib/flows"
@@ -29,13 +30,14 @@
 	routerDelay = 250 * time.Millisecond
 	// queueLimitPerSlot is the number of requests that a backend server queues for each slot before it refuses others.
 	queueLimitPerSlot = 4
-	// warmUpDuration is the time before the measurement starts.
-	warmUpDuration = 5 * time.Second
+	// defaultWarmUp is the time before the measurement starts, unless the configuration states another one.
+	defaultWarmUp = 5 * time.Second
 )
 
 var (
-	flowService = "desk"
-	flowAddress = flows.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
+	flowService  = "desk"
+	floodAddress = flows.Endpoint{IP: [4]byte{198, 18, 0, 2}, Port: 443}
+	flowAddress  = flows.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
 )
 
 // FlowsConfig configures one run of the flow simulation.
@@ -43,7 +45,11 @@
 	Agents             int
 	Balancers          int
 	Duration           time.Duration // length of the measurement, after the warm-up
+	FloodRate          float64       // requests per second of a second route, each of which uses a new flow
 	LatencyTarget      time.Duration // response time within which a request counts as on time
+	LongFlowPause      time.Duration // mean pause between the requests of a session
+	LongFlowRate       float64       // requests per second of sessions, each of which uses a flow for LongFlowRequests requests
+	LongFlowRequests   int
 	OutageAt           time.Duration // start of the power loss, from the start of the measurement
 	OutageDuration     time.Duration // length of the power loss at all hosts; zero for none
 	PersistentCallers  int           // callers that keep a flow open for many requests
@@ -52,19 +58,31 @@
 	Seed               uint64
 	ServiceTime        time.Duration // mean service time of a request
 	ShortFlowRate      float64       // requests per second that use a new flow each
+	Speeds             []float64     // speed of each backend server; 1 for those that are missing
 	Slots              int           // requests that a backend server runs at once
 	Timeout            time.Duration // time after which callers abandon a request
 	UnsafePersistent   bool          // the requests of persistent callers must not be repeated once sent on an open flow
+	WarmUp             time.Duration // time before the measurement starts; defaultWarmUp if zero
 	WithoutSnapshots   bool          // agents store no snapshots of their open flows
 }
 
 // FlowsResult holds the results of one run.
 type FlowsResult struct {
-	Failed       int       // requests without a response
-	Messages     int       // sent between balancers and agents, warm-up included
-	OnTime       int       // requests answered within the latency target
-	OnTimeShares []float64 // share of requests on time, by the ShareWindow in which they were issued
-	Requests     int       // issued during the measurement
+	Failed       int           // requests without a response
+	Flood        FlowCounts    // requests of the second route; the other counts are of the first one
+	Messages     int           // sent between balancers and agents, warm-up included
+	OnTime       int           // requests answered within the latency target
+	OnTimeShares []float64     // share of requests on time, by the ShareWindow in which they were issued
+	RefusedAfter time.Duration // time within which 99 % of the openings that were reset were reset, seen from their callers
+	Requests     int           // issued during the measurement
+	Resets       int           // resets of flows with a request, warm-up included
+	Shed         int           // requests that backend servers refused, warm-up included
+}
+
+// FlowCounts counts requests of one route.
+type FlowCounts struct {
+	OnTime   int // answered within the latency target
+	Requests int
 }
 
 // ShareWindow is the length of the window of each share in FlowsResult.OnTimeShares.
@@ -83,7 +101,10 @@
 	packets      []flows.Packet // indexed by the number that their datagram encodes
 	persistent   []*persistentCaller
 	random       *rand.Rand
+	refusedAfter []time.Duration // time from the start of an attempt until its opening was reset
 	requests     []*request
+	resets       int
+	shed         int // requests that backend servers refused
 }
 
 // SimulateFlows runs the decision code of balancers and agents in virtual time.
@@ -94,7 +115,10 @@
 		random:   rand.New(rand.NewPCG(config.Seed, 0)),
 	}
 	f.clock.now = time.Unix(0, 0)
-	f.measureFrom = f.clock.now.Add(warmUpDuration)
+	if f.config.WarmUp == 0 {
+		f.config.WarmUp = defaultWarmUp
+	}
+	f.measureFrom = f.clock.now.Add(f.config.WarmUp)
 	for i := range config.Balancers {
 		f.balancers = append(f.balancers, &balancerHost{address: hostAddress(1, i), simulation: f})
 	}
@@ -103,7 +127,7 @@
 	}
 	f.powerOn(0)
 	if config.OutageDuration > 0 {
-		f.clock.after(warmUpDuration+config.OutageAt, f.losePower)
+		f.clock.after(f.config.WarmUp+config.OutageAt, f.losePower)
 	}
 	f.startCallers()
 	f.clock.runUntil(f.measureFrom.Add(config.Duration + config.Timeout))
@@ -186,7 +210,7 @@
 }
 
 func (f *flowSimulation) result() FlowsResult {
-	result := FlowsResult{Messages: f.messages}
+	result := FlowsResult{Messages: f.messages, RefusedAfter: percentile99(f.refusedAfter), Resets: f.resets, Shed: f.shed}
 	windows := int(f.config.Duration / ShareWindow)
 	requests, onTime := make([]int, windows), make([]int, windows)
 	for _, r := range f.requests {
@@ -194,6 +218,13 @@
 		if elapsed < 0 || elapsed >= f.config.Duration {
 			continue
 		}
+		if r.address == floodAddress {
+			result.Flood.Requests++
+			if !r.answeredAt.IsZero() && r.answeredAt.Sub(r.issuedAt) <= f.config.LatencyTarget {
+				result.Flood.OnTime++
+			}
+			continue
+		}
 		window := int(elapsed / ShareWindow)
 		requests[window]++
 		result.Requests++
@@ -210,3 +241,12 @@
 	}
 	return result
 }
+
+// percentile99 returns the smallest of the given times that at least 99 % of them don't exceed; zero without any.
+func percentile99(times []time.Duration) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return times[(len(times)*99+99)/100-1]
+}
--- a/standin/model/hosts.go
+++ b/standin/model/hosts.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cyclamendock/cyclamendock/lib/flows"
@@ -108,15 +109,23 @@
 	})
 }
 
-// routes returns the only configured route.
+// routes returns the configured routes.
 func (f *flowSimulation) routes() flows.Routes {
-	route := flows.Route{
-		Address:       flowAddress,
+	routes := flows.Routes{ByAddress: map[flows.Endpoint]flows.Route{}, Version: 1}
+	for _, address := range []flows.Endpoint{floodAddress, flowAddress} {
+		routes.ByAddress[address] = f.route(address)
+	}
+	return routes
+}
+
+// route returns the route of an address.
+func (f *flowSimulation) route(address flows.Endpoint) flows.Route {
+	return flows.Route{
+		Address:       address,
 		LatencyTarget: f.config.LatencyTarget,
 		Shares:        []flows.Share{{Service: flows.HashName(flowService), Weight: 1}},
 		Timeout:       f.config.Timeout,
 	}
-	return flows.Routes{ByAddress: map[flows.Endpoint]flows.Route{flowAddress: route}, Version: 1}
 }
 
 // agentHost simulates an agent, which runs one dispatcher, and the backend server beside it.
@@ -135,6 +144,7 @@
 		coldUntil: now.Add(coldDuration),
 		freeSlots: a.simulation.config.Slots,
 		host:      a,
+		speed:     a.simulation.speedOf(a),
 		nextSeq:   map[flows.Flow]uint32{},
 	}
 	dispatcher := flows.NewDispatcher(flows.DispatcherConfig{
@@ -289,6 +299,7 @@
 	coldUntil time.Time // time until which service times are longer
 	freeSlots int
 	host      *agentHost
+	speed     float64
 	nextSeq   map[flows.Flow]uint32 // next sequence number expected on each flow held
 	queue     []flows.Packet        // requests that wait for a slot
 }
@@ -335,9 +346,17 @@
 	}
 }
 
+// speedOf returns the speed of the backend server beside an agent.
+func (f *flowSimulation) speedOf(a *agentHost) float64 {
+	if i := slices.Index(f.agents, a); i < len(f.config.Speeds) {
+		return f.config.Speeds[i]
+	}
+	return 1
+}
+
 func (b *flowBackend) randomServiceTime() time.Duration {
 	simulation := b.host.simulation
-	serviceTime := time.Duration((0.5 + simulation.random.Float64()) * float64(simulation.config.ServiceTime))
+	serviceTime := time.Duration((0.5 + simulation.random.Float64()) * float64(simulation.config.ServiceTime) / b.speed)
 	if simulation.clock.now.Before(b.coldUntil) {
 		serviceTime = time.Duration(coldFactor * float64(serviceTime))
 	}
--- /dev/null
+++ b/standin/model/overload_test.go
@@ -0,0 +1,77 @@
+package model
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/cyclamendock/cyclamendock/lib/seeded"
+)
+
+const (
+	slowSpeed = 0.55 // of every fourth backend server
+	fastSpeed = 1.2  // of the others
+	// longFlowShare is the share of the requests that come on long flows.
+	longFlowShare = 0.75
+)
+
+// overloadConfig returns a service of backend servers with different speeds under a load in parts of its capacity, and the
+// capacity in requests per second.
+func overloadConfig(load float64, duration time.Duration) (FlowsConfig, float64) {
+	config := FlowsConfig{
+		Agents:           45,
+		Balancers:        10,
+		Duration:         duration,
+		LatencyTarget:    250 * time.Millisecond,
+		LongFlowPause:    300 * time.Millisecond,
+		LongFlowRequests: 8,
+		Seed:             seeded.Seed(),
+		ServiceTime:      26 * time.Millisecond,
+		Slots:            2,
+		Timeout:          1500 * time.Millisecond,
+		WarmUp:           3 * time.Second,
+	}
+	speeds := 0.0
+	for i := range config.Agents {
+		speed := fastSpeed
+		if i%4 == 3 {
+			speed = slowSpeed
+		}
+		config.Speeds = append(config.Speeds, speed)
+		speeds += speed
+	}
+	capacity := speeds * float64(config.Slots) / config.ServiceTime.Seconds()
+	config.LongFlowRate = longFlowShare * load * capacity
+	config.ShortFlowRate = (1 - longFlowShare) * load * capacity
+	return config, capacity
+}
+
+// minOverloadGoodput is the smallest goodput at 220 % of the capacity, in parts of that at 100 %.
+const minOverloadGoodput = 0.9
+
+// secondsVariable names the environment variable with the length of the measurement in seconds. If it is set, all loads
+// are measured.
+const secondsVariable = "OVERLOAD_SECONDS"
+
+// Guards against work for callers that have given up or are too late, which lowers what a service answers in time when
+// callers ask for more than it can do.
+func TestGoodputIsKeptUnderOverload(t *testing.T) {
+	loads, duration := []float64{1, 2.2}, 2*time.Second
+	if seconds, err := strconv.Atoi(os.Getenv(secondsVariable)); err == nil {
+		loads, duration = []float64{0.9, 1, 1.05, 1.25, 1.6, 2.2}, time.Duration(seconds)*time.Second
+	}
+	g := gomega.NewWithT(t)
+	goodput := map[float64]float64{}
+	for _, load := range loads {
+		config, capacity := overloadConfig(load, duration)
+		result := SimulateFlows(config)
+		goodput[load] = float64(result.OnTime) / duration.Seconds()
+		t.Logf("| %.0f %% | %d | %d | %.3f | %d | %d | %d | %d | %d ms |", 100*load, result.Requests, result.OnTime,
+			float64(result.OnTime)/min(float64(result.Requests), capacity*duration.Seconds()),
+			result.Failed, result.Shed, result.Resets, result.Messages, result.RefusedAfter.Milliseconds())
+	}
+	g.Expect(goodput[2.2]).To(gomega.BeNumerically(">=", minOverloadGoodput*goodput[1]))
+}
