--- a/agent/tuple/node.go
+++ b/agent/tuple/node.go
@@ -33,9 +33,10 @@
 
 // Config configures a Node.
 type Config struct {
-	Address          netip.AddrPort // own address for messages between agents and balancers
-	AnnounceInterval time.Duration  // interval between announcements of the backend server
-	CallerPort       uint16         // destination port of packets for callers
+	Address          netip.AddrPort  // own address for messages between agents and balancers
+	Admission        flows.Admission // how to decide when not all requests can be served in time
+	AnnounceInterval time.Duration   // interval between announcements of the backend server
+	CallerPort       uint16          // destination port of packets for callers
 	Codec            flows.Codec
 	FirstStart       bool // no agent or balancer has run before, so there are no earlier flows
 	FlowLifetime     time.Duration
@@ -98,6 +99,7 @@
 			Store:   config.Store,
 		}),
 		dispatcher: flows.NewDispatcher(flows.DispatcherConfig{
+			Admission:    config.Admission,
 			FirstEcho:    rand.Uint32(),
 			FlowLifetime: config.FlowLifetime,
 			KnownFrom:    knownFrom,
--- a/balancer/tuple/node.go
+++ b/balancer/tuple/node.go
@@ -29,8 +29,9 @@
 
 // Config holds the settings and dependencies of a Node.
 type Config struct {
-	Address        netip.AddrPort // local address for messages and RPC between processes
-	CallerPort     uint16         // destination port of packets to callers
+	Address        netip.AddrPort  // local address for messages and RPC between processes
+	Admission      flows.Admission // how to decide when not all requests can be served in time
+	CallerPort     uint16          // destination port of packets to callers
 	Codec          flows.Codec
 	ConfigDeadline time.Duration // time within which a change of the configuration must be applied
 	ConfigKey      string        // store key of the configuration
@@ -87,6 +88,7 @@
 		configReads: newConfigReads(config.Address, config.ConfigDeadline, rand.Float64),
 		ctx:         ctx,
 		director: flows.NewDirector(flows.DirectorConfig{
+			Admission:    config.Admission,
 			FlowLifetime: config.FlowLifetime,
 			LostAfter:    config.LostAfter,
 			MaxQueueTime: maxQueueTime,
--- a/lib/flows/accept.go
+++ b/lib/flows/accept.go
@@ -14,7 +14,8 @@
 	if _, repeated := d.flows.Get(now, flow); repeated {
 		return d.deliver(f, p)
 	}
-	if d.queue.Len() > 0 || !d.serverLoad().meetsTarget(f.LatencyTarget) {
+	d.recordDemand(now, p)
+	if d.queue.Len() > 0 || !d.mayDeliver(f.LatencyTarget) {
 		return d.handleOverload(now, f, p)
 	}
 	state, admitted := d.admit(now, flow)
@@ -44,18 +45,19 @@
 // queue, which queues the flow if it can be served in time, and otherwise refuses it at once.
 func (d *Dispatcher) handleOverload(now time.Time, f *Forward, p Packet) AgentVerdict {
 	f.Overloaded = true
-	if latency := d.queuedLatency(f); !f.Least.IsSet() || latency < f.LeastLatency {
+	if latency := d.queuedLatency(now, f, p); !f.Least.IsSet() || latency < f.LeastLatency {
 		f.Least, f.LeastLatency = d.config.Self, latency
 	}
-	if len(f.Next) > 0 && !f.Assigned {
+	if len(f.Next) > 0 && !f.Assigned && !f.Confined {
 		return d.forwardOrReturn(f, p)
 	}
-	if f.Least != d.config.Self && !f.Assigned {
+	if f.Least != d.config.Self && !f.Assigned && !f.Confined {
 		f.Assigned = true
 		f.Next = []Endpoint{f.Least}
 		return d.forwardOrReturn(f, p)
 	}
-	if d.cannotServe(now, f) || !d.queue.add(newQueueEntry(now, f, p, maxOpeningWait)) {
+	f.Next = nil // it is refused if it can't be queued, or expires in the queue
+	if d.cannotServe(now, f, p) || !d.queue.add(newQueueEntry(now, f, p, d.maxOpeningWait(now, f, p))) {
 		f.Final = true
 		return d.forwardOrReturn(f, p)
 	}
@@ -63,17 +65,23 @@
 }
 
 // queuedLatency returns the time until a new flow that is queued now is expected to be answered.
-func (d *Dispatcher) queuedLatency(f *Forward) time.Duration {
+func (d *Dispatcher) queuedLatency(now time.Time, f *Forward, p Packet) time.Duration {
+	if d.config.Admission == AdmissionAdaptive {
+		return d.queuedWait(now, f, p)
+	}
 	projected := d.serverLoad()
 	projected.Busy += d.queue.Len()
 	return projected.expectedLatency(f.LatencyTarget)
 }
 
 // cannotServe reports whether a new flow that is queued now would miss its timeout, or its latency target while an
-// overload lasts.
-func (d *Dispatcher) cannotServe(now time.Time, f *Forward) bool {
+// overload lasts; adaptive admission refuses it early.
+func (d *Dispatcher) cannotServe(now time.Time, f *Forward, p Packet) bool {
+	if d.config.Admission == AdmissionAdaptive {
+		return d.refusesEarly(now, f, p)
+	}
 	if !d.overload.lasting(now) {
-		return d.queuedLatency(f) > f.Timeout
+		return d.queuedLatency(now, f, p) > f.Timeout
 	}
 	projected := d.serverLoad()
 	projected.Busy += d.queue.countAfter(now.Add(-f.LatencyTarget))
--- a/lib/flows/director.go
+++ b/lib/flows/director.go
@@ -88,6 +88,7 @@
 
 // DirectorConfig configures a Director.
 type DirectorConfig struct {
+	Admission    Admission     // how to decide when not all requests can be served in time
 	FlowLifetime time.Duration // time after which an idle flow is forgotten
 	LostAfter    time.Duration // silence after which an agent is lost, as callers have given up on its flows
 	MaxQueueTime time.Duration // longest time that a new flow is queued until an agent accepts it
@@ -108,6 +109,7 @@
 	Agents *Agents
 
 	config            DirectorConfig
+	handOvers         handOverQuotas
 	hints             *Cache[Flow, Endpoint] // agent that holds each flow, as far as known
 	lastTick          time.Time
 	pendingResets     map[Flow]pendingReset
@@ -124,6 +126,7 @@
 	return &Director{
 		Agents:            NewAgents(config.LostAfter),
 		config:            config,
+		handOvers:         handOverQuotas{},
 		hints:             NewCache[Flow, Endpoint](hintCapacity, config.FlowLifetime),
 		pendingResets:     map[Flow]pendingReset{},
 		queuedOpenings:    map[Flow]queuedOpening{},
@@ -153,6 +156,7 @@
 			d.learnService(address, share.Service)
 		}
 	}
+	d.handOvers.retain(routes)
 	d.routes = routes
 	return true
 }
--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -56,6 +56,7 @@
 
 // DispatcherConfig configures a Dispatcher.
 type DispatcherConfig struct {
+	Admission    Admission     // how to decide when not all requests can be served in time
 	FirstEcho    uint32        // random, so that bounced packets of an earlier process match no delivery of this one
 	FlowLifetime time.Duration // time after which an idle flow is forgotten
 	KnownFrom    time.Time     // from when this process knows all flows of its backend server; zero if it does from the start
@@ -95,6 +96,7 @@
 	busy            int                    // requests in progress
 	closed          *Cache[Flow, struct{}] // flows that the backend server has closed a short time ago
 	config          DispatcherConfig
+	demand          demand     // requests and new flows by route, with adaptive admission
 	deliveries      []delivery // ring, indexed by echo
 	ended           []Ended    // requests that ended since the last TakeEnded
 	flows           *Cache[Flow, *flowState]
@@ -115,6 +117,7 @@
 	return &Dispatcher{
 		closed:      NewCache[Flow, struct{}](closedCapacity, closedLifetime),
 		config:      config,
+		demand:      demand{},
 		deliveries:  make([]delivery, deliveryTableSize),
 		flows:       NewCache[Flow, *flowState](flowCapacity, config.FlowLifetime),
 		held:        heldAddresses{knownFrom: config.KnownFrom, lastSeen: map[Endpoint]time.Time{}, lifetime: config.FlowLifetime},
--- a/lib/flows/forward.go
+++ b/lib/flows/forward.go
@@ -10,12 +10,14 @@
 	forwardFinal      = 2
 	forwardAssigned   = 4
 	forwardRelayed    = 8
+	forwardConfined   = 16
 )
 
 // Forward is a caller's packet on its way to the agent that holds its flow or accepts it.
 type Forward struct {
 	Datagram      []byte
 	Assigned      bool          // the new flow is queued by this agent, as others have longer queues
+	Confined      bool          // no agent hands the new flow over to another one because of its load
 	Era           uint64        // latest era of the store that the balancer knows
 	Final         bool          // the balancer refuses the new flow when the packet is returned, instead of trying other agents
 	LatencyTarget time.Duration // target latency of the route
@@ -39,7 +41,7 @@
 // Append appends the encoded message of the given kind, KindForward or KindReturn.
 func (f *Forward) Append(dst []byte, kind MessageKind) []byte {
 	flags := flagBit(f.Overloaded, forwardOverloaded) | flagBit(f.Final, forwardFinal) | flagBit(f.Assigned, forwardAssigned) |
-		flagBit(f.Relayed, forwardRelayed)
+		flagBit(f.Relayed, forwardRelayed) | flagBit(f.Confined, forwardConfined)
 	dst = append(dst, byte(kind), flags)
 	dst = append(dst, byte(int8(max(-128, min(f.Urgency, 127)))))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(f.Service))
@@ -64,6 +66,7 @@
 	f.Final = flags&forwardFinal != 0
 	f.Assigned = flags&forwardAssigned != 0
 	f.Relayed = flags&forwardRelayed != 0
+	f.Confined = flags&forwardConfined != 0
 	f.Urgency = int(int8(r.byte()))
 	f.Service = NameHash(r.uint64())
 	f.Origin = r.endpoint()
--- a/lib/flows/load.go
+++ b/lib/flows/load.go
@@ -20,11 +20,15 @@
 func (r Report) expectedLatency(target time.Duration) time.Duration {
 	slots := max(r.Slots, 1)
 	concurrency := max(r.Busy+1, slots)
-	serviceTime := r.MeanServiceTime
-	if serviceTime == 0 {
-		serviceTime = target / unknownServiceTimeDivisor
+	return r.expectedServiceTime(target) * time.Duration(concurrency) / time.Duration(slots)
+}
+
+// expectedServiceTime returns the mean service time, or an estimate by the latency target until it is known.
+func (r Report) expectedServiceTime(target time.Duration) time.Duration {
+	if r.MeanServiceTime == 0 {
+		return target / unknownServiceTimeDivisor
 	}
-	return serviceTime * time.Duration(concurrency) / time.Duration(slots)
+	return r.MeanServiceTime
 }
 
 // likelyLatency returns a time within which one more request will most likely be answered; zero when no service time is
--- a/lib/flows/message_test.go
+++ b/lib/flows/message_test.go
@@ -24,6 +24,7 @@
 func TestForwardRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sent := Forward{
+			Confined:      rapid.Bool().Draw(t, "confined"),
 			Assigned:      rapid.Bool().Draw(t, "assigned"),
 			LatencyTarget: time.Duration(rapid.IntRange(0, 65535).Draw(t, "latency target")) * time.Millisecond,
 			Least:         drawEndpoint(t),
--- a/lib/flows/opening.go
+++ b/lib/flows/opening.go
@@ -93,6 +93,7 @@
 	}
 	verdict := d.place(now, route, p, nil)
 	if verdict.Action == ActForward {
+		verdict.Forward.Confined = d.config.Admission == AdmissionAdaptive && !d.handOvers.place(flow.Service)
 		return verdict
 	}
 	return d.queueOpening(now, p, datagram)
@@ -116,6 +117,7 @@
 // retryOpening decides about an opening that every candidate so far has rejected.
 func (d *Director) retryOpening(now time.Time, route Route, p Packet, f *Forward) Verdict {
 	if f.Final {
+		d.handOvers.recordRefused(p.Destination, f.RejectedBy)
 		return resetVerdict(p, ReasonSaturated)
 	}
 	verdict := d.place(now, route, p, f.RejectedBy)
--- a/lib/flows/queueing.go
+++ b/lib/flows/queueing.go
@@ -32,7 +32,8 @@
 	if !d.startsRequest(now, p) || d.config.Server.State(now) != StateReady {
 		return false
 	}
-	if d.queue.Len() == 0 && d.serverLoad().meetsTarget(f.LatencyTarget) {
+	d.recordDemand(now, p)
+	if d.queue.Len() == 0 && d.mayDeliver(f.LatencyTarget) {
 		return false
 	}
 	entry := newQueueEntry(now, f, p, f.Timeout)
@@ -76,7 +77,7 @@
 	verdicts := d.returnOpenings(d.queue.expire(now), true)
 	for {
 		entry := d.queue.peek(now.Add(d.serverLoad().likelyLatency()))
-		if entry == nil || !d.serverLoad().meetsTarget(entry.forward.LatencyTarget) {
+		if entry == nil || !d.mayDeliver(entry.forward.LatencyTarget) {
 			return verdicts
 		}
 		if entry.onOpenFlow {
--- a/lib/flows/waitqueue.go
+++ b/lib/flows/waitqueue.go
@@ -121,17 +121,22 @@
 func (q *WaitQueue) countAfter(after time.Time) int {
 	count := 0
 	for _, route := range q.routes {
-		first, _ := slices.BinarySearchFunc(route.entries, after, func(entry *queueEntry, after time.Time) int {
-			if entry.requestedAt.After(after) {
-				return 1
-			}
-			return -1
-		})
-		count += len(route.entries) - first
+		count += route.countAfter(after)
 	}
 	return count
 }
 
+// countAfter returns the number of entries that were requested after the given time.
+func (r *routeQueue) countAfter(after time.Time) int {
+	first, _ := slices.BinarySearchFunc(r.entries, after, func(entry *queueEntry, after time.Time) int {
+		if entry.requestedAt.After(after) {
+			return 1
+		}
+		return -1
+	})
+	return len(r.entries) - first
+}
+
 // hasMissed reports whether an entry has missed its latency target.
 func (q *WaitQueue) hasMissed(now time.Time) bool {
 	for _, route := range q.routes {
--- a/standin/model/flows.go
+++ b/standin/model/flows.go
@@ -42,6 +42,7 @@
 
 // FlowsConfig configures one run of the flow simulation.
 type FlowsConfig struct {
+	Admission          flows.Admission
 	Agents             int
 	Balancers          int
 	Duration           time.Duration // length of the measurement, after the warm-up
--- a/standin/model/hosts.go
+++ b/standin/model/hosts.go
@@ -19,6 +19,7 @@
 func (b *balancerHost) start() {
 	now := b.simulation.clock.now
 	director := flows.NewDirector(flows.DirectorConfig{
+		Admission:    b.simulation.config.Admission,
 		FlowLifetime: flowLifetime,
 		LostAfter:    lostAfter,
 		MaxQueueTime: maxQueueTime,
@@ -148,6 +149,7 @@
 		nextSeq:   map[flows.Flow]uint32{},
 	}
 	dispatcher := flows.NewDispatcher(flows.DispatcherConfig{
+		Admission:    a.simulation.config.Admission,
 		FirstEcho:    a.simulation.random.Uint32(),
 		FlowLifetime: flowLifetime,
 		Self:         a.address,
