--- a/lib/flows/dispatcher.go
+++ b/lib/flows/dispatcher.go
@@ -58,6 +58,7 @@
 
 // DispatcherConfig configures a Dispatcher.
 type DispatcherConfig struct {
+	Admission    Admission     // how to decide when not all requests can be served in time
 	FirstEcho    uint32        // random, so that bounced packets of an earlier process match no delivery of this one
 	FlowLifetime time.Duration // time after which an idle flow is forgotten
 	KnownFrom    time.Time     // from when this process knows all flows of its backend server; zero if it does from the start
@@ -101,6 +102,7 @@
 	closed          *Cache[Flow, struct{}] // flows that the backend server has closed a short time ago
 	coldQueue       *WaitQueue             // new flows that wait until the limit for cold backend servers permits them
 	config          DispatcherConfig
+	demand          demand     // requests and new flows by route, with adaptive admission
 	deliveries      []delivery // ring, indexed by echo
 	ended           []Ended    // requests that ended since the last TakeEnded
 	flows           *Cache[Flow, *flowState]
@@ -127,6 +129,7 @@
 		closed:      NewCache[Flow, struct{}](closedCapacity, closedLifetime),
 		coldQueue:   NewWaitQueue(queueCapacity),
 		config:      config,
+		demand:      demand{},
 		deliveries:  make([]delivery, deliveryTableSize),
 		flows:       NewCache[Flow, *flowState](flowCapacity, config.FlowLifetime),
 		held:        heldAddresses{knownFrom: config.KnownFrom, lastSeen: map[Endpoint]time.Time{}, lifetime: config.FlowLifetime},
--- a/lib/flows/forward.go
+++ b/lib/flows/forward.go
@@ -12,12 +12,14 @@
 	forwardRelayed    = 8
 	forwardNoRoom     = 16
 	forwardOnlyLimits = 32
+	forwardConfined   = 64
 )
 
 // Forward is a caller's packet on its way to the agent that holds its flow or accepts it.
 type Forward struct {
 	Datagram      []byte
 	Assigned      bool          // the new flow is queued by this agent, as others have longer queues
+	Confined      bool          // no agent hands the new flow over to another one because of its load
 	Era           uint64        // latest era of the store that the balancer knows
 	Final         bool          // the balancer refuses the new flow when the packet is returned, instead of trying other agents
 	LatencyTarget time.Duration // target latency of the route
@@ -43,7 +45,8 @@
 // Append appends the encoded message of the given kind, KindForward or KindReturn.
 func (f *Forward) Append(dst []byte, kind MessageKind) []byte {
 	flags := flagBit(f.Overloaded, forwardOverloaded) | flagBit(f.Final, forwardFinal) | flagBit(f.Assigned, forwardAssigned) |
-		flagBit(f.Relayed, forwardRelayed) | flagBit(f.NoRoom, forwardNoRoom) | flagBit(f.OnlyLimits, forwardOnlyLimits)
+		flagBit(f.Relayed, forwardRelayed) | flagBit(f.NoRoom, forwardNoRoom) | flagBit(f.OnlyLimits, forwardOnlyLimits) |
+		flagBit(f.Confined, forwardConfined)
 	dst = append(dst, byte(kind), flags)
 	dst = append(dst, byte(int8(max(-128, min(f.Urgency, 127)))))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(f.Service))
@@ -70,6 +73,7 @@
 	f.Relayed = flags&forwardRelayed != 0
 	f.NoRoom = flags&forwardNoRoom != 0
 	f.OnlyLimits = flags&forwardOnlyLimits != 0
+	f.Confined = flags&forwardConfined != 0
 	f.Urgency = int(int8(r.byte()))
 	f.Service = NameHash(r.uint64())
 	f.Origin = r.endpoint()
--- a/lib/flows/opening.go
+++ b/lib/flows/opening.go
@@ -97,6 +97,9 @@
 	default:
 		return d.forwardVerdict(now, route, p, route.ServiceFor(flow), Chain{owner})
 	}
+	if verdict.Action == ActForward {
+		verdict.Forward.Confined = d.config.Admission == AdmissionAdaptive && !d.handOvers.place(flow.Service)
+	}
 	if verdict.Action != ActDrop {
 		return verdict
 	}
@@ -128,6 +131,7 @@
 // retryOpening decides about an opening that every candidate so far has rejected.
 func (d *Director) retryOpening(now time.Time, route Route, p Packet, f *Forward) Verdict {
 	if f.Final {
+		d.handOvers.recordRefused(p.Destination, f.RejectedBy)
 		return resetVerdict(p, ReasonSaturated)
 	}
 	if f.NoRoom {
--- a/lib/flows/pacing.go
+++ b/lib/flows/pacing.go
@@ -67,7 +67,7 @@
 	last := f.Final || f.Assigned
 	if !last {
 		f.NoRoom = true
-		if latency := d.queuedLatency(f); !f.Least.IsSet() || latency < f.LeastLatency {
+		if latency := d.queuedLatency(now, f, p); !f.Least.IsSet() || latency < f.LeastLatency {
 			f.Least, f.LeastLatency = d.config.Self, latency
 		}
 		return d.forwardOrReturn(f, p)
--- a/lib/flows/queueing.go
+++ b/lib/flows/queueing.go
@@ -34,7 +34,8 @@
 	if !d.startsRequest(now, p) || d.config.Server.State(now) != StateReady {
 		return false
 	}
-	if d.queue.Len() == 0 && d.serverLoad().meetsTarget(f.LatencyTarget) {
+	d.recordDemand(now, p)
+	if d.queue.Len() == 0 && d.mayDeliver(f.LatencyTarget) {
 		return false
 	}
 	entry := newQueueEntry(now, f, p, f.Timeout)
@@ -83,7 +84,7 @@
 	}
 	for {
 		entry := d.queue.peek(now.Add(d.serverLoad().likelyLatency()))
-		if entry == nil || !d.serverLoad().meetsTarget(entry.forward.LatencyTarget) {
+		if entry == nil || !d.mayDeliver(entry.forward.LatencyTarget) {
 			return append(verdicts, d.releaseCold(now)...)
 		}
 		if entry.onOpenFlow {
