--- a/standin/model/overload_test.go
+++ b/standin/model/overload_test.go
@@ -103,3 +103,13 @@
 	g.Expect(own).To(gomega.BeNumerically(">=", minOwnShare))
 	g.Expect(served).To(gomega.BeNumerically(">=", minOverloadGoodput))
 }
+
+// Guards against decisions about several routes that depend on the order of a map.
+func TestOverloadedRunsWithSameSeedAreIdentical(t *testing.T) {
+	g := gomega.NewWithT(t)
+	config, capacity := overloadConfig(0.6, 500*time.Millisecond)
+	config.Admission = flows.AdmissionAdaptive
+	config.FloodRate = capacity
+	config.WarmUp = time.Second
+	g.Expect(SimulateFlows(config)).To(gomega.Equal(SimulateFlows(config)))
+}
