Refuse new flows early only once callers can't outwait the overload

Change: early refusal begins when requests have missed their targets in the queue for longer than the timeout of the route, and lasts while new flows are refused, since none misses its target in the queue then.

The tests of early refusal now begin in an overload that has lasted; a test of the short backlog is added.

--- a/lib/flows/accept.go
+++ b/lib/flows/accept.go
@@ -85,12 +85,16 @@
 }
 
 // cannotServe reports whether a new flow that is queued now would miss its timeout, or its latency target while an
-// overload lasts; adaptive admission refuses it early.
+// overload lasts; adaptive admission refuses it early once callers can't outwait the overload.
 func (d *Dispatcher) cannotServe(now time.Time, f *Forward, p Packet) bool {
-	if d.config.Admission == AdmissionAdaptive {
-		return d.refusesEarly(now, f, p)
-	}
-	if !d.overload.lasting(now) {
+	if d.isSaturated(now, f) {
+		refuses := d.refusesEarly(now, f, p)
+		if refuses {
+			d.overload.prolong(now) // no entry misses its target in the queue while new flows are refused
+		}
+		return refuses
+	}
+	if d.config.Admission == AdmissionAdaptive || !d.overload.lasting(now) {
 		return d.queuedLatency(now, f, p) > f.Timeout
 	}
 	projected := d.serverLoad()
--- a/lib/flows/adaptive.go
+++ b/lib/flows/adaptive.go
@@ -53,7 +53,7 @@
 
 // maxOpeningWait returns how long a new flow may stay queued.
 func (d *Dispatcher) maxOpeningWait(now time.Time, f *Forward, p Packet) time.Duration {
-	if d.config.Admission != AdmissionAdaptive {
+	if !d.isSaturated(now, f) {
 		return maxOpeningWait
 	}
 	if d.demand.belowMean(now, p.Destination) {
@@ -62,6 +62,13 @@
 	return f.LatencyTarget * openingSharePercent / percent
 }
 
+// isSaturated reports whether adaptive admission refuses new flows of a route early: requests have missed their latency targets in the
+// queue for longer than callers of the route wait. A shorter backlog, as after a loss of power, is served late rather than refused, since
+// callers run out of attempts before it is gone.
+func (d *Dispatcher) isSaturated(now time.Time, f *Forward) bool {
+	return d.config.Admission == AdmissionAdaptive && d.overload.lastsFor(now, f.Timeout)
+}
+
 // refusesEarly reports whether a new flow that is queued now would not be delivered within its wait. A flood on another
 // route counts only with as many entries as this route has, as routes take turns.
 func (d *Dispatcher) refusesEarly(now time.Time, f *Forward, p Packet) bool {
--- a/lib/flows/adaptive_test.go
+++ b/lib/flows/adaptive_test.go
@@ -7,11 +7,13 @@
 	"github.com/onsi/gomega"
 )
 
-// newAdaptiveSim returns a simulation with adaptive admission whose agent knows its backend server's service time.
+// newAdaptiveSim returns a simulation with adaptive admission whose agent knows its backend server's service time, in an overload that has
+// lasted for longer than callers wait.
 func newAdaptiveSim(now time.Time, slots int) *overloadSim {
 	o := newOverloadSim(now, slots)
 	o.dispatcher.config.Admission = AdmissionAdaptive
 	o.dispatcher.meanServiceTime = 20 * time.Millisecond
+	o.dispatcher.overload = overload{lastMissed: now, since: now.Add(-2 * o.forward(testFlow(0)).Timeout)}
 	return o
 }
 
@@ -72,6 +74,35 @@
 	g.Expect(released[0].Forward.Final).To(gomega.BeTrue())
 }
 
+// Guards against a backlog after an outage that is refused although callers would wait for it: they run out of attempts before it is gone.
+func TestShortBacklogIsServedLateRatherThanRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(100, 0)
+	o := newAdaptiveSim(now, 2)
+	o.dispatcher.overload = overload{}
+	o.fill(now, 10)
+	verdict := o.openOn(now, testFlow(1), func(f *Forward) { f.Next = nil })
+	g.Expect(verdict.Action).To(gomega.Equal(AgentSendOwner), "it is queued")
+}
+
+// Guards against saturation that ends because new flows are refused, so that a backlog grows again.
+func TestSaturationLastsWhileNewFlowsAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(100, 0)
+	o := newAdaptiveSim(now, 2)
+	o.fill(now, 10)
+	o.dispatcher.overload.lastMissed = now.Add(-overloadPause / 2)
+	verdict := o.openOn(now, testFlow(1), func(f *Forward) { f.Next = nil })
+	g.Expect(verdict.Forward.Final).To(gomega.BeTrue())
+	f := o.forward(testFlow(1))
+	now = now.Add(overloadPause)
+	o.dispatcher.overload.update(now, false)
+	g.Expect(o.dispatcher.isSaturated(now, &f)).To(gomega.BeTrue(), "a new flow was refused within the pause")
+	now = now.Add(overloadPause / 2)
+	o.dispatcher.overload.update(now, false)
+	g.Expect(o.dispatcher.isSaturated(now, &f)).To(gomega.BeFalse())
+}
+
 // Guards against hand-overs of a new flow among agents that are all too busy.
 func TestConfinedNewFlowIsNotHandedOver(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/lib/flows/overload.go
+++ b/lib/flows/overload.go
@@ -29,8 +29,14 @@
 	}
 }
 
+// prolong records that the overload goes on.
+func (o *overload) prolong(now time.Time) { o.lastMissed = now }
+
 // lasting reports whether waiting is of no use: what comes in exceeds what the backend server can do, so that each new
 // flow that is queued makes another one late. Refused at once, its caller may still find another agent in time.
-func (o *overload) lasting(now time.Time) bool {
-	return !o.since.IsZero() && now.Sub(o.since) > lastingOverload
+func (o *overload) lasting(now time.Time) bool { return o.lastsFor(now, lastingOverload) }
+
+// lastsFor reports whether the overload has lasted for longer than the given time.
+func (o *overload) lastsFor(now time.Time, duration time.Duration) bool {
+	return !o.since.IsZero() && now.Sub(o.since) > duration
 }
