--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 TOOLS := bin/tools
 
-.PHONY: bench build demo disturb format gopls lint measures slopes soak test
+.PHONY: bench build cuts demo disturb format gopls lint measures slopes soak test
 
 build:
 	mkdir -p bin
@@ -45,7 +45,9 @@
 	@unformatted=$$($(TOOLS)/goimports -local github.com/cyclamendock -l $(MODULES)); \
 	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted; run make format"; exit 1; fi
 	go vet $(PACKAGES)
+	go vet -tags cuts ./platform
 	$(TOOLS)/staticcheck $(PACKAGES)
+	$(TOOLS)/staticcheck -tags cuts ./platform
 	$(TOOLS)/revive -config revive.toml -set_exit_status $(PACKAGES)
 
 bench: build
@@ -58,6 +60,9 @@
 disturb: build
 	./bin/standin soak --seed $(SEED) --seeds $(ROUNDS) --jobs 4
 
+cuts: build
+	./bin/standin soak --cuts --seed $(SEED) --seeds $(ROUNDS)
+
 soak:
 	SEED=$(SEED) CHECKS=$(ROUNDS) go test -count=1 -timeout 2h ./lib/...
 
--- a/standin/tuple/cutsoak.go
+++ b/standin/tuple/cutsoak.go
@@ -18,7 +18,7 @@
 	cutCallers = 3
 	// cutRequestTimeout is longer than a run, since a request on an open flow must be answered after the cut at the latest.
 	cutRequestTimeout = 2 * time.Minute
-	// cutExcuse is added to lostAfter: a balancer needs some time to ask the others about a silent agent.
+	// cutExcuse is added to lostAfter, in which a balancer asks all others about a silent agent, to get the silence that excuses a reset.
 	cutExcuse = time.Second
 	// cutResetDelay is the longest time between a balancer's decision and the arrival of its reset at a caller that waits for it.
 	cutResetDelay = 300 * time.Millisecond
@@ -141,11 +141,11 @@
 	}
 	for range 1 + s.faultRandom.IntN(2) {
 		s.pause(s.config.CutFor / 2)
+		s.observe(s.cluster.config.Balancers)
 		if err := s.cluster.AddBalancer(); err != nil {
 			return err
 		}
 		s.recordFault(fmt.Sprintf("balancer-%d is added", s.cluster.config.Balancers-1))
-		s.observe(s.cluster.config.Balancers - 1)
 	}
 	time.Sleep(time.Until(end))
 	s.recordFault("the cut ends")
@@ -196,14 +196,15 @@
 	return nil
 }
 
-// checkReset records a violation if a backend server still holds a flow that was reset. The reset is excused only while no balancer has
-// heard the backend server's agent within lostAfter and cutExcuse: then no process knows that the flow exists.
+// checkReset records a violation if a backend server still holds a flow that was reset. The reset is excused only while no balancer at all
+// has heard the backend server's agent within lostAfter plus cutExcuse: then none can carry the flow's packets, nor knows of the flow.
 func (s *cutSoak) checkReset(now time.Time, flow *Flow) {
 	for i, backend := range s.cluster.Backends {
 		if !backend.HasOpenFlow(flow.address) {
 			continue
 		}
 		agent := netip.AddrPortFrom(s.cluster.host(2, i), internalPort)
+		time.Sleep(2 * hearingInterval) // until the reports that came before the reset are sampled
 		silence := max(s.hearing.silence(agent, now), s.hearing.silence(agent, now.Add(-cutResetDelay)))
 		if silence <= s.config.LostAfter+cutExcuse {
 			s.recordViolation(fmt.Sprintf("%s: the flow of %v was reset although %s holds it and a balancer heard agent-%d %v before, with lostAfter %v",
