--- a/balancer/tuple/zonesync_test.go
+++ b/balancer/tuple/zonesync_test.go
@@ -10,6 +10,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/cyclamendock/cyclamendock/lib/flows"
+	"github.com/cyclamendock/cyclamendock/lib/netio"
 	"github.com/cyclamendock/cyclamendock/lib/seeded"
 	"github.com/cyclamendock/cyclamendock/lib/store"
 	"github.com/cyclamendock/cyclamendock/lib/zones"
@@ -342,3 +343,44 @@
 	g.Expect(zones).To(gomega.BeFalse())
 	g.Expect(n.handleDigest(time.Now(), flows.Digest{ZonesFromStore: true}.Append(nil), testAgentAddress(1).AddrPort())).To(gomega.BeTrue())
 }
+
+// Guards against a balancer that has lost every datagram about a change and is not answered when its own digest shows that, and against
+// answers to each digest of an older version with the same set.
+func TestDigestWithAnOlderSetIsAnswered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newZoneSim(seeded.Seed(), 1, 0)
+	ours := &s.balancers[0].sync
+	digest := func(revision uint64, hashes ...uint64) flows.Digest {
+		state, _ := zones.NewState(store.Version{Era: 1, Revision: revision}, hashes)
+		return flows.Digest{Zones: state}
+	}
+	g.Expect(ours.ahead(flows.Digest{})).To(gomega.BeFalse(), "neither knows anything")
+	ours.recordDigest(s.now, digest(5, 7), s.balancers[0].address)
+	g.Expect(ours.ahead(flows.Digest{})).To(gomega.BeTrue())
+	g.Expect(ours.ahead(digest(4))).To(gomega.BeTrue())
+	g.Expect(ours.ahead(digest(4, 7))).To(gomega.BeFalse())
+	g.Expect(ours.ahead(digest(6))).To(gomega.BeFalse())
+}
+
+// Guards against a reader that finds the store back too late, and against all balancers that call a store which is down as often as it.
+func TestPauseAfterAFailedListDependsOnTheRole(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newZoneSim(seeded.Seed(), 2, 0)
+	state, _ := zones.NewState(s.version, nil)
+	pause := func(sync *zoneSync, balancers int) time.Duration {
+		sync.reads.random = func() float64 { return 0.5 }
+		sync.recordListFailure(s.now, balancers)
+		return sync.reads.retryAt.Sub(s.now)
+	}
+	reader, other := &s.balancers[0].sync, &s.balancers[1].sync
+	g.Expect(pause(other, 5)).To(gomega.Equal(netio.MaxRetryPause), "it has not listed yet and may not know all balancers")
+	for _, sync := range []*zoneSync{reader, other} {
+		sync.recordList(s.now, s.now, state)
+	}
+	reader.recordList(s.now, s.now, state)
+	g.Expect(pause(reader, 430)).To(gomega.Equal(zoneRetryPause))
+	g.Expect(pause(other, 5)).To(gomega.Equal(5 * zoneRetryPause))
+	g.Expect(pause(other, 430)).To(gomega.Equal(netio.MaxRetryPause))
+	g.Expect(other.due(other.reads.retryAt.Add(-1), true)).To(gomega.BeFalse())
+	g.Expect(other.due(other.reads.retryAt, true)).To(gomega.BeTrue())
+}
