Count an agent as out of reach only once nobody has heard it for lostAfter

Change: a balancer answers for agents that it has heard within lostAfter, and the lack of answers serves only the decisions that wait for it (100 ms).

--- a/lib/flows/proof.go
+++ b/lib/flows/proof.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// heardWithin is how old the report of an agent may be that a balancer says it hears.
-	heardWithin = slowReportInterval + reportGrace
 	// maxTickGap is the longest time between two ticks of a balancer that was running all the while.
 	maxTickGap = 250 * time.Millisecond
 )
@@ -110,14 +108,14 @@
 	return queries
 }
 
-// HandleQuery returns which of the agents that another balancer doesn't hear this one hears, and those that it knows but has not
-// heard lately, to be sent hellos.
+// HandleQuery returns which of the agents that another balancer doesn't hear this one has heard within LostAfter, and those that it knows
+// but has not heard lately, to be sent hellos. An agent is out of reach only once nobody has heard it for that long.
 func (d *Director) HandleQuery(now time.Time, query Query) (heard Heard, unsure []Endpoint) {
 	for _, address := range query.Agents {
 		agent := d.Agents.byAddress[address]
 		switch {
 		case agent == nil:
-		case !agent.lastReport.IsZero() && now.Sub(agent.lastReport) <= heardWithin:
+		case !agent.lastReport.IsZero() && now.Sub(agent.lastReport) <= d.config.LostAfter:
 			heard.Agents = append(heard.Agents, address)
 		default:
 			unsure = append(unsure, address)
--- a/lib/reach/asker.go
+++ b/lib/reach/asker.go
@@ -10,8 +10,11 @@
 	rounds = 5
 	// roundInterval is the interval between two rounds, and how long answers to the last one are awaited.
 	roundInterval = 75 * time.Millisecond
-	// answerLifetime is how long an answer, or the lack of any, holds before the others are asked again.
+	// answerLifetime is how long an answer holds before the others are asked again.
 	answerLifetime = time.Second
+	// unheardLifetime is how long the lack of any answer holds. An observer may begin to hear the subject at any time, so it serves only the
+	// decisions that wait for it.
+	unheardLifetime = 100 * time.Millisecond
 	// needLifetime is how long after its last use a subject is kept.
 	needLifetime = 10 * time.Second
 	// maxStep is the longest time that counts between two ticks. The answers to a process that was not scheduled for longer wait in its
@@ -65,7 +68,7 @@
 		a.subjects[subject] = q
 	}
 	q.neededAt = a.attended
-	if q.settled && a.attended-q.settledAt > answerLifetime {
+	if q.settled && a.attended-q.settledAt > q.lifetime() {
 		q.asked, q.heard, q.settled = 0, false, false
 	}
 	switch {
@@ -146,6 +149,14 @@
 	return true
 }
 
+// lifetime returns how long the result of the inquiry holds.
+func (q *inquiry[E]) lifetime() time.Duration {
+	if q.heard {
+		return answerLifetime
+	}
+	return unheardLifetime
+}
+
 func (q *inquiry[E]) settle(now time.Duration) {
 	q.settled = true
 	q.settledAt = now
--- a/lib/reach/asker_test.go
+++ b/lib/reach/asker_test.go
@@ -36,8 +36,8 @@
 	g.Expect(a.Ask(1)).To(gomega.Equal(Pending), "the answers to the last round are awaited")
 	run(a, now, 2*testTick)
 	g.Expect(a.Ask(1)).To(gomega.Equal(Unheard))
-	run(a, now, answerLifetime+testTick)
-	g.Expect(a.Ask(1)).To(gomega.Equal(Pending), "the lack of answers holds for a while only")
+	run(a, now, unheardLifetime+testTick)
+	g.Expect(a.Ask(1)).To(gomega.Equal(Pending), "the lack of answers holds for a moment only")
 }
 
 // Guards against an answer that is lost with the first two rounds or comes from an earlier inquiry.
