Count the interval of reports in the silence of an agent, and pace servers after an evacuation

An agent whose last report a balancer got less than lostAfter plus a report interval ago may have been in reach within lostAfter. Balancers now answer queries for it, so that its flows are not reset yet.

A backend server whose availability zone is no longer evacuated may be cold: its agent begins a slow start, as after a time that it was not ready. TestServerOfEvacuatedZoneStartsSlowlyAfterwards fails before.

--- a/lib/flows/pacing.go
+++ b/lib/flows/pacing.go
@@ -31,7 +31,8 @@
 // observeServer tells the pacer the state of the backend server.
 func (d *Dispatcher) observeServer(now time.Time) {
 	server := d.config.Server
-	d.pacer.Observe(now, server.Current().StartMillis, server.State(now) == StateReady, d.load(now))
+	ready := server.State(now) == StateReady && !d.zone.Evacuated()
+	d.pacer.Observe(now, server.Current().StartMillis, ready, d.load(now))
 }
 
 // recordResponse tells the pacer about a response to a request that is no longer in progress.
--- a/lib/flows/pacing_test.go
+++ b/lib/flows/pacing_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cyclamendock/cyclamendock/lib/pace"
+	"github.com/cyclamendock/cyclamendock/lib/store"
 )
 
 const testSlots = 7
@@ -215,6 +216,30 @@
 	}
 }
 
+// Guards against a backend server that gets its full share at once when its availability zone is no longer evacuated.
+func TestServerOfEvacuatedZoneStartsSlowlyAfterwards(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := newPacedAgent(time.Time{}, testPacing, 0)
+	a.now = a.now.Add(time.Second)
+	a.announce(1, StateReady, 0)
+	for next := 10; next == 10 || next < 200 && a.dispatcher.Pace() > 0; next += 10 {
+		for i := range 10 {
+			a.open(testEndpoint(1, 0), testFlow(next+i), onlyLimits)
+		}
+		for i := range 10 {
+			a.serve(testFlow(next + i))
+		}
+		a.dispatcher.Release(a.now)
+	}
+	g.Expect(a.dispatcher.Pace()).To(gomega.BeZero(), "the first slow start is over")
+	for i, evacuated := range []bool{true, false} {
+		a.dispatcher.SetZone(Zones{Evacuated: evacuated, Version: store.Version{Revision: uint64(i + 1)}})
+		a.dispatcher.Release(a.now)
+	}
+	g.Expect(a.open(testEndpoint(1, 0), testFlow(1), nil).Action).To(gomega.Equal(AgentDeliver))
+	g.Expect(a.open(testEndpoint(1, 0), testFlow(2), nil).Action).To(gomega.Equal(AgentForwardOrReturn))
+}
+
 // Guards against balancers that send flows to an agent without room while others have some, and against flows that wait when none has.
 func TestBalancerSkipsAgentsWithoutRoom(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/lib/flows/proof.go
+++ b/lib/flows/proof.go
@@ -108,14 +108,15 @@
 	return queries
 }
 
-// HandleQuery returns which of the agents that another balancer doesn't hear this one has heard within LostAfter, and those that it knows
-// but has not heard lately, to be sent hellos. An agent is out of reach only once nobody has heard it for that long.
+// HandleQuery returns which of the agents that another balancer doesn't hear this one has heard lately, and those that it knows but has
+// not, to be sent hellos. An agent is out of reach only once nobody has heard it for LostAfter; it may have been in reach until its next
+// report was due.
 func (d *Director) HandleQuery(now time.Time, query Query) (heard Heard, unsure []Endpoint) {
 	for _, address := range query.Agents {
 		agent := d.Agents.byAddress[address]
 		switch {
 		case agent == nil:
-		case !agent.lastReport.IsZero() && now.Sub(agent.lastReport) <= d.config.LostAfter:
+		case !agent.lastReport.IsZero() && now.Sub(agent.lastReport) <= d.config.LostAfter+slowReportInterval:
 			heard.Agents = append(heard.Agents, address)
 		default:
 			unsure = append(unsure, address)
