Tell the balancer who holds a flow also when the agent was asked alone

An agent says that it holds a flow only if others stood on the packet's list. One that was asked alone, as in each fan-out and in a service with one agent, did not, so that the balancer searched again for each further packet: 150 ms after the last one to agents that had joined meanwhile, in turn with the owner.

Change: packets of a search are marked (Forward.Searched), and the agent that holds the flow answers them with its Owner message. TestOwnerThatIsAskedAloneIsRemembered fails before.

--- a/lib/flows/forward.go
+++ b/lib/flows/forward.go
@@ -13,6 +13,7 @@
 	forwardNoRoom     = 16
 	forwardOnlyLimits = 32
 	forwardConfined   = 64
+	forwardSearched   = 128
 )
 
 // Forward is a caller's packet on its way to the agent that holds its flow or accepts it.
@@ -32,6 +33,7 @@
 	Overloaded    bool          // an agent in RejectedBy was too busy for the new flow
 	RejectedBy    []Endpoint    // agents that did not hold or accept the flow
 	Relayed       bool          // another balancer has relayed the packet to Origin
+	Searched      bool          // the balancer doesn't know which agent holds the flow, and is to be told
 	Service       NameHash
 	Timeout       time.Duration // request timeout of the route
 	Urgency       int           // urgency of the route, from -128 to 127
@@ -46,7 +48,7 @@
 func (f *Forward) Append(dst []byte, kind MessageKind) []byte {
 	flags := flagBit(f.Overloaded, forwardOverloaded) | flagBit(f.Final, forwardFinal) | flagBit(f.Assigned, forwardAssigned) |
 		flagBit(f.Relayed, forwardRelayed) | flagBit(f.NoRoom, forwardNoRoom) | flagBit(f.OnlyLimits, forwardOnlyLimits) |
-		flagBit(f.Confined, forwardConfined)
+		flagBit(f.Confined, forwardConfined) | flagBit(f.Searched, forwardSearched)
 	dst = append(dst, byte(kind), flags)
 	dst = append(dst, byte(int8(max(-128, min(f.Urgency, 127)))))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(f.Service))
@@ -74,6 +76,7 @@
 	f.NoRoom = flags&forwardNoRoom != 0
 	f.OnlyLimits = flags&forwardOnlyLimits != 0
 	f.Confined = flags&forwardConfined != 0
+	f.Searched = flags&forwardSearched != 0
 	f.Urgency = int(int8(r.byte()))
 	f.Service = NameHash(r.uint64())
 	f.Origin = r.endpoint()
--- a/lib/flows/requests.go
+++ b/lib/flows/requests.go
@@ -43,7 +43,7 @@
 		d.forgetRestored(p)
 		return
 	}
-	if len(f.RejectedBy) > 0 || len(f.Next) > 0 {
+	if f.Searched || len(f.RejectedBy) > 0 || len(f.Next) > 0 {
 		state.ownerRecipient = f.Origin
 	}
 	state.lastAck = p.Ack
--- a/lib/flows/search.go
+++ b/lib/flows/search.go
@@ -15,6 +15,7 @@
 
 // flowSearch is the state of the search for the agent that holds a flow.
 type flowSearch struct {
+	asked      []Endpoint // agents that the last packet was sent to
 	fanOuts    int        // number of fan-outs, which rotate over the services
 	fannedOut  bool       // the last packet was sent along several chains at once
 	rejectedBy []Endpoint // agents that do not hold the flow
@@ -47,8 +48,8 @@
 		if len(agents) == 0 {
 			continue
 		}
-		search.sentAt, search.fannedOut = now, true
-		return d.forwardVerdict(now, route, p, service, chains(agents[:min(len(agents), maxFanOut)], 1)...)
+		search.fannedOut = true
+		return d.searchVerdict(now, route, p, service, search, chains(agents[:min(len(agents), maxFanOut)], 1))
 	}
 	return d.awaitMembers(now, p, search)
 }
@@ -67,20 +68,29 @@
 			if len(search.rejectedBy) == 0 {
 				lists = lists[:1]
 			}
-			search.sentAt, search.fannedOut = now, len(lists) > 1
-			return d.forwardVerdict(now, route, p, service, lists...)
+			search.fannedOut = len(lists) > 1
+			return d.searchVerdict(now, route, p, service, search, lists)
 		}
 		if len(silent) == 0 && len(silentAgents) > 0 {
 			silentService, silent = service, silentAgents
 		}
 	}
 	if len(silent) > 0 {
-		search.sentAt, search.fannedOut = now, true
-		return d.forwardVerdict(now, route, p, silentService, chains(silent[:min(len(silent), maxFanOut)], 1)...)
+		search.fannedOut = true
+		return d.searchVerdict(now, route, p, silentService, search, chains(silent[:min(len(silent), maxFanOut)], 1))
 	}
 	return d.awaitMembers(now, p, search)
 }
 
+// searchVerdict returns the verdict to forward a packet along chains of agents, one of which may hold its flow and is to say so.
+func (d *Director) searchVerdict(now time.Time, route Route, p Packet, service NameHash, search *flowSearch, chains []Chain) Verdict {
+	search.sentAt = now
+	search.asked = slices.Concat(chains...)
+	verdict := d.forwardVerdict(now, route, p, service, chains...)
+	verdict.Forward.Searched = true
+	return verdict
+}
+
 // chains splits agents into chains of at most the given length.
 func chains(agents []Endpoint, length int) []Chain {
 	var all []Chain
--- a/lib/flows/search_test.go
+++ b/lib/flows/search_test.go
@@ -107,3 +107,26 @@
 		g.Expect(n.delivered[flow]).To(gomega.BeNumerically(">", before), "seed %d", seed)
 	}
 }
+
+// Guards against searches that go on after the owner was found: an agent that was asked alone did not say that it holds the flow, so that
+// each further packet was sent to agents that had joined meanwhile, and not to the owner.
+func TestOwnerThatIsAskedAloneIsRemembered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newTestNetwork(1, 1, 1)
+	n.openFlow(testFlow(1))
+	balancer := n.balancers()[0]
+	n.restartBalancer(balancer)
+	n.reportAll()
+	n.sendVia(balancer, testFlow(1), FlagAck, 100)
+	d := n.directors[balancer]
+	owner, known := d.lookupHint(n.now, testFlow(1))
+	g.Expect(known).To(gomega.BeTrue())
+	g.Expect(owner).To(gomega.Equal(n.agents[0].address))
+	g.Expect(d.searches.Has(n.now, testFlow(1))).To(gomega.BeFalse())
+	n.addAgent(testService)
+	n.reportAll()
+	n.advance(searchTimeout + testReportInterval)
+	before := n.delivered[testFlow(1)]
+	n.sendVia(balancer, testFlow(1), FlagAck, 100)
+	g.Expect(n.delivered[testFlow(1)]).To(gomega.Equal(before + 1))
+}
