Go on with a search as soon as all agents that were asked have answered

Cause: while a packet was sent to several agents at once, agents that had not been asked yet counted as awaited. The last answer was dropped then, and the search went on only with the caller's next packet. A caller need not repeat a packet, so that the copies of one packet reached several other backend servers and none the flow's own. It takes a balancer without a hint, and an owner that is asked in the third round: of another service after a change of the route, or, since balancers use subsets, outside of the subset.

Change: only agents that the packet was sent to are awaited. TestSinglePacketReachesOwnerOfEarlierService fails before.

--- a/lib/flows/director.go
+++ b/lib/flows/director.go
@@ -260,7 +260,10 @@
 		}
 	}
 	if search.fannedOut && now.Sub(search.sentAt) < searchTimeout {
-		if awaited := d.possibleOwners(now, flow, search.rejectedBy); len(awaited) > 0 {
+		awaited := slices.DeleteFunc(d.possibleOwners(now, flow, search.rejectedBy), func(agent Endpoint) bool {
+			return !slices.Contains(search.asked, agent)
+		})
+		if len(awaited) > 0 {
 			return Verdict{Awaited: awaited, Flow: flow, Reason: ReasonFannedOut, RequestID: p.RequestID}
 		}
 	}
--- a/lib/flows/search_test.go
+++ b/lib/flows/search_test.go
@@ -130,3 +130,27 @@
 	n.sendVia(balancer, testFlow(1), FlagAck, 100)
 	g.Expect(n.delivered[testFlow(1)]).To(gomega.Equal(before + 1))
 }
+
+// Guards against searches that stop before all agents were asked: while agents that had not been asked yet counted as awaited, a packet
+// went no further than to the agents of the present service. A caller need not send it again, so that three copies reached other
+// backend servers and none the flow's own.
+func TestSinglePacketReachesOwnerOfEarlierService(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newTestNetwork(1, 1, 3)
+	n.openFlow(testFlow(1))
+	g.Expect(n.ownerOf).To(gomega.HaveKey(testFlow(1)))
+	const present = "nachweise"
+	for range 2*maxChainLength + 4 {
+		n.addAgent(present)
+	}
+	n.routes = testRoutes(2, testAddress)
+	route := n.routes.ByAddress[testAddress]
+	route.Shares = []Share{{Service: HashName(present), Weight: 1}}
+	n.routes.ByAddress[testAddress] = route
+	balancer := n.balancers()[0]
+	n.restartBalancer(balancer)
+	n.reportAll()
+	before := n.delivered[testFlow(1)]
+	n.sendVia(balancer, testFlow(1), FlagAck, 100)
+	g.Expect(n.delivered[testFlow(1)]).To(gomega.Equal(before + 1))
+}
