--- a/review/standin2/scenario.go
+++ b/review/standin2/scenario.go
@@ -6,7 +6,11 @@
 	"time"
 )
 
-const flowCount = 40
+// The numbers of long flows of the two scenarios.
+const (
+	flowCount         = 40
+	restartsFlowCount = 160
+)
 
 // stopAgent opens long flows, stops one agent as planned work while its target runs on, and starts it again. It checks
 // that no consumer of an open flow gets a reset that its target didn't send.
@@ -118,7 +122,7 @@
 		t.mu.Unlock()
 	}
 	var flows []*consumerFlow
-	for i := range flowCount {
+	for i := range restartsFlowCount {
 		f := c.consumers.openFlow(c.route)
 		if f == nil || f.request(fmt.Sprintf("first-%d", i), 900, 5*time.Second) != "answered" {
 			c.record.log("the case couldn't run: flow %d doesn't open", i)
